Limit the time a client connection may take over a request to 2 s

Silent and slow peers kept their connections for 30 s (a head) or the longest deadline (a body), until the table of clients was full and proper requests spent their time in the backlog. A body that does not come in time is answered 408.

Ruled out: slow upstreams (15 ms an attempt in the bad stretch), CPU (0.09 s in the worst second), admission (same module, 12 to 15% refused once fed in time).

--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -20,7 +20,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::config::Config;
 use crate::engine::{Arrival, Handle, Reply};
@@ -34,6 +34,10 @@
 const FINISH: Duration = Duration::from_millis(100);
 /// Wait after a failed accept, so that a full descriptor table does not become a busy loop.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
+/// How long a connection may take over a request, from connecting or from its head on, and idle between two.
+/// Failure: peers that sent nothing, or never all of it, kept their connections until the table of clients was
+/// full, and proper clients waited in the backlog until their time was up.
+const REQUEST_WITHIN: Duration = Duration::from_secs(2);
 /// No client waits longer than this; a figure beyond it is a mistake.
 const LONGEST_DEADLINE_MS: u64 = 3_600_000;
 
@@ -114,9 +118,15 @@
     /// All requests of one connection.
     async fn converse(self: Rc<Self>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
         let _ = stream.set_nodelay(true);
-        let service = service_fn(|request| self.respond(request));
+        // The first request's time runs from connecting: head and body do not get it twice.
+        let connected = Cell::new(Some(Instant::now()));
+        let service = service_fn(|request| {
+            let whole_by = connected.take().unwrap_or_else(Instant::now) + REQUEST_WITHIN;
+            self.respond(request, whole_by)
+        });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
+            .header_read_timeout(REQUEST_WITHIN)
             .serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
         let closed = tokio::select! {
@@ -130,14 +140,17 @@
         self.open.set(self.open.get() - 1);
     }
 
-    async fn respond(&self, request: Request<hyper::body::Incoming>) -> Result<Answer, Infallible> {
-        let arrived = Instant::now();
+    async fn respond(
+        &self,
+        request: Request<hyper::body::Incoming>,
+        whole_by: Instant,
+    ) -> Result<Answer, Infallible> {
         let path = request.uri().path();
         let mut answer = if path == "/-/ready" {
             let ready = self.engine.ready() && !self.stopping.get();
             bare(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
         } else if path == "/api" || path.starts_with("/api/") {
-            self.api(request, arrived).await
+            self.api(request, whole_by).await
         } else {
             bare(StatusCode::NOT_FOUND)
         };
@@ -148,10 +161,12 @@
         Ok(answer)
     }
 
-    async fn api(&self, request: Request<hyper::body::Incoming>, arrived: Instant) -> Answer {
+    async fn api(&self, request: Request<hyper::body::Incoming>, whole_by: Instant) -> Answer {
+        let arrived = Instant::now();
         let (head, body) = request.into_parts();
-        let read = timeout(self.longest, Limited::new(body, BODY_LIMIT).collect());
-        let Ok(Ok(body)) = read.await else { return malformed("body") };
+        let read = timeout_at(whole_by, Limited::new(body, BODY_LIMIT).collect());
+        let Ok(body) = read.await else { return bare(StatusCode::REQUEST_TIMEOUT) };
+        let Ok(body) = body else { return malformed("body") };
         let body = body.to_bytes();
         let arrival = match self.arrival(&head, &body, arrived) {
             Ok(arrival) => arrival,
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -463,6 +463,29 @@
     assert!(node.child.try_wait().expect("a child").is_none());
 }
 
+/// The terms allow 3 s; the rest is for a busy machine.
+#[test]
+fn a_peer_that_sends_no_whole_request_does_not_keep_its_connection() {
+    let upstream = Upstream::start(|_| ok("ok"));
+    let node = Node::start(&config(members(&[&upstream])));
+    let whole = alarm("r1", 60_000, "whole");
+    let no_body = whole.len() - "whole".len();
+    let from = Instant::now();
+    let peers = [0, no_body / 2, no_body, whole.len() - 1].map(|sent| {
+        let mut peer = node.client();
+        peer.send(&whole[..sent]);
+        (sent, peer)
+    });
+    for (sent, mut peer) in peers {
+        let answer = peer.answer();
+        assert!(answer.is_none_or(|a| a.status() == 408), "after {sent} bytes");
+        assert!(peer.answer().is_none(), "closed after {sent} bytes");
+        assert!(from.elapsed() < Duration::from_secs(4), "{sent} bytes: {:?}", from.elapsed());
+    }
+    assert_eq!(node.client().ask(&read("r2", 5000)).status(), 200);
+    assert_eq!(upstream.requests_so_far(), 1);
+}
+
 #[test]
 fn a_bad_configuration_is_told_plainly() {
     let run = |file: &str| {
