Bound propagation time by the least round trip of any answer

2*TP_i was the least round trip of a turn-away alone. N_i fell (the sum from 16 to 3) while K_i rose and TS_i went to nothing: refusals beside idle upstreams. No answer can come sooner than 2*TP_i, so every one bounds it.

Ruled out: shut breakers and lost in-flight counts, by a trace of both (0 and at most 7 in flight while two thirds were refused); a full client table (95 sockets).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -196,8 +196,9 @@
 /// What the answers of one upstream told: the round trip is split into 2*TP + TS.
 #[derive(Clone, Copy, Debug)]
 struct Estimate {
-    /// Twice the propagation time: the least round trip of an answer that did no work.
+    /// Twice the propagation time, known once an answer did no work: the least round trip of any answer.
     tp2: Option<f64>,
+    least: f64,
     /// Slowness: service time, waiting at the upstream included, over the fleet's mean for the same class.
     /// TS_i is this times the fleet's mean, whatever mix of classes it drew.
     slow: f64,
@@ -205,12 +206,14 @@
 
 impl Estimate {
     /// Before any answer: as fast as the fleet's mean.
-    const NONE: Self = Self { tp2: None, slow: 1.0 };
+    const NONE: Self = Self { tp2: None, least: f64::INFINITY, slow: 1.0 };
 
     /// Takes in an answer of this latency, where the fleet's mean for its class is `mean`.
     fn learn(&mut self, outcome: Outcome, latency: f64, mean: f64) {
-        if outcome == Outcome::Full {
-            self.tp2 = Some(self.tp2.map_or(latency, |t| t.min(latency)));
+        // Failure: upstreams that stood still turned away late; as propagation that left neither N_i nor TS_i.
+        if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full) {
+            self.least = self.least.min(latency);
+            self.tp2 = (outcome == Outcome::Full || self.tp2.is_some()).then_some(self.least);
         }
         let service = (latency - self.tp2.unwrap_or(0.0)).max(1.0) / mean;
         let service = match outcome {
@@ -1118,8 +1121,8 @@
             Event::Request(r) => self.request(now, r, out),
             Event::Answered(a) => self.outcome(now, a, out),
             Event::Started(id) | Event::Left(id) => self.end(id),
-            Event::Timer(token) => self.timer(now, token, out),
-            Event::Probed { .. } => {}
+            Event::Timer(SWEEP) => self.timer(now, out),
+            Event::Timer(_) | Event::Probed { .. } => {}
         }
     }
 
@@ -1137,10 +1140,7 @@
         out.push(Action::Arm { token: SWEEP, at: now.plus(self.settings.sweep_every()) });
     }
 
-    fn timer(&mut self, now: Time, token: u64, out: &mut Vec<Action>) {
-        if token != SWEEP {
-            return;
-        }
+    fn timer(&mut self, now: Time, out: &mut Vec<Action>) {
         self.watch(now);
         self.refresh_warm(now);
         self.refresh_lanes(now);
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -52,6 +52,28 @@
     assert!((9.0..16.0).contains(&n), "N {n}");
 }
 
+#[test]
+fn a_slow_turn_away_is_not_taken_for_propagation() {
+    let mut w = World::with_servers(settings(), 1);
+    for id in 0..40 {
+        w.request(id, 0);
+        serve(&mut w, id, 10);
+    }
+    let (_, k, n) = w.balancer.upstream(ServerId(0), Span(200 * MS)).unwrap();
+    // It stood still, and turned a request away only then.
+    w.request(1000, 0);
+    w.pass(Span(130 * MS));
+    w.outcome(1000, 0, Outcome::Full);
+    for id in 2000..2005 {
+        w.pass(Span(300 * MS));
+        w.request(id, 0);
+        serve(&mut w, id, 10);
+    }
+    let (_, after, left) = w.balancer.upstream(ServerId(0), Span(200 * MS)).unwrap();
+    assert!(after <= k + 1, "K {k}, then {after}");
+    assert!(left >= 0.5 * n, "N {n}, then {left}");
+}
+
 #[test]
 fn proxies_of_a_bank_prefer_different_upstreams() {
     // Failure: every proxy of a large bank spread its requests over the whole fleet, and together
