--- a/src/policy.rs
+++ b/src/policy.rs
@@ -210,7 +210,7 @@
 
     /// Takes in an answer of this latency, where the fleet's mean for its class is `mean`.
     fn learn(&mut self, outcome: Outcome, latency: f64, mean: f64) {
-        // Failure: upstreams that stood still turned away late; as propagation that left neither N_i nor TS_i.
+        // Failure: an upstream that stood still turned away late; as propagation, that left no N_i.
         if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full) {
             self.least = self.least.min(latency);
             self.tp2 = (outcome == Outcome::Full || self.tp2.is_some()).then_some(self.least);
