Let a turn-away by an upstream that reports no queue leave the limit alone

Each such answer counted as a full fleet and took a third of this proxy's limit, which stayed at its least value; the proxies refused stock checks beside idle upstreams. The report that comes with the answer says whether anything waited; without one it still counts as full.

Ruled out: trials of the class that is turned away.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -753,8 +753,7 @@
             return;
         };
         attempt.fate = if a.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
-        let attempt = *attempt;
-        let server = attempt.server;
+        let (attempt, server) = (*attempt, attempt.server);
         let (class, turn) = (e.class, e.turn);
         let may_run = matches!(a.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
         if let Some(line) = turn.filter(|_| may_run).and_then(|k| self.lines.get_mut(&k)) {
@@ -786,7 +785,7 @@
         }
         let mean = self.fleet.mean[class];
         let mean = if mean > 0.0 { mean } else { self.fleet.ts };
-        self.learn_leeway(latency / mean, a.outcome);
+        self.learn_leeway(latency / mean, a);
         let s = &mut self.servers[server];
         if attempt.asked && a.outcome != Outcome::Cancelled {
             let hopeless = &mut self.fleet.hopeless[class];
@@ -817,11 +816,13 @@
 
     /// Moves the limit by what an answer tells of the room there. Failure: where a zone was lost with its
     /// proxies, the rest kept to the parts of a whole bank, and refused beside upstreams that idled.
-    fn learn_leeway(&mut self, latency: f64, outcome: Outcome) {
-        let f = &mut self.fleet;
+    fn learn_leeway(&mut self, latency: f64, a: &Answer) {
+        let (f, outcome) = (&mut self.fleet, a.outcome);
         let latency = match outcome {
             Outcome::Ok => latency.min(SLOWNESS_MAX),
-            Outcome::Full => SLOWNESS_MAX,
+            // Failure: upstreams where nothing waited turned one class away, and each time a third of the
+            // limit went.
+            Outcome::Full if a.report.queue.is_none_or(|q| q >= 1.0) => SLOWNESS_MAX,
             _ => return,
         };
         f.good += if f.ts < f.good { f.ts - f.good } else { (f.ts - f.good) * GOOD_GAIN };
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -198,6 +198,11 @@
 
     /// Ends an attempt that is out; does nothing if there is none such.
     pub fn outcome(&mut self, id: u64, attempt: usize, outcome: Outcome) {
+        self.outcome_with(id, attempt, outcome, Report::default());
+    }
+
+    /// The same, with what the upstream reports of itself.
+    pub fn outcome_with(&mut self, id: u64, attempt: usize, outcome: Outcome, report: Report) {
         let Some(asked) = self.asked.get_mut(&id) else { return };
         let Some(t) = asked.tries.get_mut(attempt).filter(|t| t.ended.is_none()) else { return };
         (t.ended, t.ended_at) = (Some(outcome), self.now);
@@ -212,7 +217,7 @@
             outcome,
             latency: self.now.since(t.sent),
             last: asked.over,
-            report: Report::default(),
+            report,
         };
         self.tell(Event::Answered(answer));
     }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -528,6 +528,37 @@
     assert!(crowded <= 9, "{crowded} upstreams in use where the rest is crowded");
 }
 
+/// Requests out once an upstream has turned ten away with this report, beside others that serve.
+fn slots_after_turn_aways(queue: Option<f64>) -> usize {
+    let mut w = World::with_servers(Settings { balancers: 4, ..settings() }, 16);
+    let mut id = 0;
+    // At its limit and never crowded, the proxy takes what the rest of the bank leaves.
+    for _ in 0..300 {
+        (id..id + 16).for_each(|i| w.request(i, 0));
+        w.pass(Span(10 * MS));
+        (id..id + 16).for_each(|i| w.outcome(i, 0, Outcome::Ok));
+        id += 16;
+    }
+    for id in id..id + 10 {
+        w.request(id, 0);
+        let report = Report { queue, inflight: Some(0.0), ..Report::default() };
+        w.pass(Span(10 * MS));
+        w.outcome_with(id, 0, Outcome::Full, report);
+        w.pass(Span(10 * MS));
+        w.outcome(id, 1, Outcome::Ok);
+    }
+    w.pass(Span(400 * MS));
+    (10_000..10_032).for_each(|i| w.request(i, 0));
+    (10_000..10_032).filter(|&i| w.out(i).is_some()).count()
+}
+
+#[test]
+fn a_turn_away_where_nothing_waits_does_not_cut_the_limit() {
+    let (idle, full) = (slots_after_turn_aways(Some(0.0)), slots_after_turn_aways(Some(20.0)));
+    assert!(idle >= 2 * full, "{idle} out after turn-aways by idle upstreams, {full} by full ones");
+    assert_eq!(full, slots_after_turn_aways(None), "without a report it counts as full");
+}
+
 #[test]
 fn k_is_clamped_to_n() {
     let mut w = World::with_servers(settings(), 1);
