Take the address of discovery from the file anew on SIGHUP

The signal was not handled and ended the program (exit 129), losing what it had taken. On SIGHUP the file is read again and the watch goes on from the last revision at the new address, at once; a file that cannot be read is left aside. The environment can't change after the start, so the file alone counts here.

--- a/src/bin/hollowpaddle/config.rs
+++ b/src/bin/hollowpaddle/config.rs
@@ -50,6 +50,22 @@
     sockets: Option<usize>,
 }
 
+impl File {
+    fn read() -> Result<Self, ConfigError> {
+        let path = std::env::var("LB_CONFIG").map_err(|_| ConfigError::NoFile)?;
+        let text = std::fs::read(&path).map_err(|e| ConfigError::Unreadable(path.clone(), e))?;
+        let mut reader = serde_json::Deserializer::from_slice(&text);
+        serde_path_to_error::deserialize(&mut reader).map_err(|e| {
+            let field = e.path().to_string();
+            ConfigError::Malformed { path, field, cause: e.into_inner().to_string() }
+        })
+    }
+}
+
+fn address(name: &'static str, value: String) -> Result<SocketAddr, ConfigError> {
+    value.parse().map_err(|_| ConfigError::BadAddress { name, value })
+}
+
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
@@ -68,19 +84,10 @@
 
 impl Config {
     pub fn from_env() -> Result<Self, ConfigError> {
-        let path = std::env::var("LB_CONFIG").map_err(|_| ConfigError::NoFile)?;
-        let text = std::fs::read(&path).map_err(|e| ConfigError::Unreadable(path.clone(), e))?;
-        let mut reader = serde_json::Deserializer::from_slice(&text);
-        let file: File = serde_path_to_error::deserialize(&mut reader).map_err(|e| {
-            let field = e.path().to_string();
-            ConfigError::Malformed { path, field, cause: e.into_inner().to_string() }
-        })?;
+        let file = File::read()?;
         // The environment and the file say the same; the environment is the platform's first word.
         let say = |name: &str, file: String| std::env::var(name).unwrap_or(file);
-        let address = |name: &'static str, file: String| {
-            let value = say(name, file);
-            value.parse().map_err(|_| ConfigError::BadAddress { name, value })
-        };
+        let address = |name: &'static str, file: String| address(name, say(name, file));
         let sockets = file.limits.sockets.unwrap_or(SOCKETS);
         if sockets < 4 * RESERVED {
             return Err(ConfigError::TooFewSockets(sockets));
@@ -97,6 +104,12 @@
         })
     }
 
+    /// Where the file names discovery by now. The environment can't change after the start, so only the file
+    /// counts.
+    pub fn discovery_now() -> Result<SocketAddr, ConfigError> {
+        address("discovery", File::read()?.discovery)
+    }
+
     /// Half the descriptors for each side. Every attempt belongs to a client's request, so while clients
     /// keep to their half, upstreams can never need more than theirs.
     pub fn budget(&self) -> Budget {
--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -39,6 +39,7 @@
     Ended { id: RequestId, attempt: usize, ended: Ended },
     Listed { serial: u64, list: List },
     WatchEnded { serial: u64 },
+    DiscoveryMoved(SocketAddr),
 }
 
 /// A request as the module needs to know it.
@@ -59,10 +60,11 @@
     Failed { late: bool },
 }
 
-/// The engine as clients' connections see it.
+/// The engine as clients' connections and signals see it.
+#[derive(Clone)]
 pub struct Handle {
     notes: mpsc::UnboundedSender<Note>,
-    next: Cell<u64>,
+    next: Rc<Cell<u64>>,
     ready: Rc<Cell<bool>>,
 }
 
@@ -72,6 +74,11 @@
         self.ready.get()
     }
 
+    /// The list is to be had from this address from now on.
+    pub fn discovery_moved(&self, address: SocketAddr) {
+        let _ = self.notes.send(Note::DiscoveryMoved(address));
+    }
+
     /// Hands in a request and waits for its answer. Dropped before that, it tells that the client left.
     pub async fn ask(&self, arrival: Arrival, forward: Forward) -> Reply {
         let id = RequestId(self.next.replace(self.next.get() + 1));
@@ -184,7 +191,7 @@
         let settings = config.facts.settings();
         let (own_notes, notes) = mpsc::unbounded_channel();
         let ready = Rc::new(Cell::new(false));
-        let handle = Handle { notes: own_notes.clone(), next: Cell::new(0), ready: ready.clone() };
+        let handle = Handle { notes: own_notes.clone(), next: Rc::default(), ready: ready.clone() };
         let (must_ask, second_copies) = (settings.must_ask, settings.limits.second_copies);
         let grace = Duration::from_micros(settings.rules.drain_grace.0.max(0) as u64);
         let max_attempts = settings.limits.max_attempts;
@@ -267,6 +274,11 @@
                 self.ended(id, attempt, ended);
                 self.catch_up();
             }
+            // At once: the old address soon ends its watch, and what is missed meanwhile counts as told.
+            Note::DiscoveryMoved(address) => {
+                self.discovery = address;
+                self.subscribe();
+            }
             Note::Listed { serial, list } => {
                 if serial == self.watch_serial {
                     let whole = list.complete;
--- a/src/bin/hollowpaddle/main.rs
+++ b/src/bin/hollowpaddle/main.rs
@@ -14,12 +14,12 @@
 use std::rc::Rc;
 
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
 
 use clients::Front;
 use config::Config;
-use engine::Engine;
+use engine::{Engine, Handle};
 use upstreams::Pool;
 
 fn main() -> ExitCode {
@@ -42,12 +42,14 @@
 
 async fn run(config: Config) -> Result<(), String> {
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
     let budget = config.budget();
     let pool = Pool::new(budget.upstreams, &config);
     let (engine, handle) = Engine::new(&config, pool).map_err(|e| format!("settings: {e}"))?;
     let engine = tokio::task::spawn_local(engine.run());
+    tokio::task::spawn_local(reconfigure(hangup, handle.clone()));
     // The bound address, not the wanted one: with port 0 it is the only word of where clients connect.
     let bound = listener.local_addr().map_err(|e| format!("listen on {}: {e}", config.listen))?;
     tracing::info!(name = config.name, "listening on {bound}");
@@ -61,3 +63,17 @@
         _ = engine => Err("the engine ended".to_string()),
     }
 }
+
+/// On SIGHUP the file names another address of discovery. Failure: unhandled, the signal ended the program.
+async fn reconfigure(mut hangup: Signal, engine: Handle) {
+    while hangup.recv().await.is_some() {
+        match Config::discovery_now() {
+            Ok(address) => {
+                tracing::info!(%address, "discovery has moved");
+                engine.discovery_moved(address);
+            }
+            // What was in force still serves; a balancer that ends on a bad file would not.
+            Err(cause) => tracing::warn!(%cause, "the new configuration is left aside"),
+        }
+    }
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -392,6 +392,28 @@
     }
 }
 
+#[test]
+fn sighup_moves_the_watch_to_where_the_file_says() {
+    let upstream = Upstream::start(|_| ok("ok"));
+    let node = Node::start(&config(vec![]));
+    node.discovery.watch();
+    let moved = Discovery::start();
+    let mut file = config(vec![]);
+    file["discovery"] = json!(moved.address.to_string());
+    node.reconfigure(&file.to_string());
+    node.signal("HUP");
+    let (call, mut watch) = moved.watch();
+    assert!(call.contains("index=41"), "it goes on from what it has: {call}");
+    let list = json!({"revision": 42, "complete": false, "members": members(&[&upstream])});
+    chunk(&mut watch, &format!("{list}\n"));
+    assert_eq!(node.client().ask(&read("r1", 5000)).status(), 200);
+    // A file that can't be read changes nothing, and ends nothing.
+    node.reconfigure("{");
+    node.signal("HUP");
+    assert_eq!(node.client().ask(&read("r2", 5000)).status(), 200);
+    chunk(&mut watch, "\n");
+}
+
 #[test]
 fn sigterm_finishes_what_was_taken() {
     let (go, waits) = channel();
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -290,6 +290,11 @@
         panic!("the node goes on");
     }
 
+    /// Replaces its configuration file.
+    pub fn reconfigure(&self, config: &str) {
+        std::fs::write(&self.config, config).expect("a temporary file");
+    }
+
     /// Sends it a signal, by its name.
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
