Limit a request's head to 32 KiB

hyper buffers some 400 KiB of head a connection: times the 180 clients that 384 descriptors leave room for, 72 MB, where a balancer may have 32 to 48. Anyone may connect. A longer head is answered 431.

--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -28,6 +28,9 @@
 
 /// The largest body that either side may send.
 pub const BODY_LIMIT: usize = 64 << 10;
+/// The longest head of a request; a longer one is answered 431. hyper's own limit, some 400 KiB, times a full
+/// table of clients is more than the memory that a balancer has.
+const HEAD_LIMIT: usize = 32 << 10;
 /// How long connections are still accepted after SIGTERM: the front needs a moment to hear of it.
 const LINGER: Duration = Duration::from_millis(500);
 /// After the last deadline, time for the answers to be written.
@@ -127,6 +130,7 @@
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(REQUEST_WITHIN)
+            .max_buf_size(HEAD_LIMIT)
             .serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
         let closed = tokio::select! {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -508,6 +508,25 @@
     assert_eq!(upstream.requests_so_far(), 1);
 }
 
+#[test]
+fn a_head_without_measure_is_not_kept_in_memory() {
+    let upstream = Upstream::start(|_| ok("ok"));
+    let node = Node::start(&config(members(&[&upstream])));
+    let cookie = |n: usize| {
+        let cookie = format!("Cookie: {}\r\nX-Class:", "x".repeat(n));
+        read("r1", 5000).replace("X-Class:", &cookie)
+    };
+    assert_eq!(node.client().ask(&cookie(16 << 10)).status(), 200);
+    // It stops reading there, so the answer may be lost to a reset; but the request goes nowhere.
+    let mut peer = TcpStream::connect(node.address).expect("it accepts");
+    peer.set_read_timeout(Some(SOON)).expect("a time");
+    let _ = peer.write_all(cookie(128 << 10).as_bytes());
+    let mut answer = Vec::new();
+    let _ = peer.read_to_end(&mut answer);
+    assert!(answer.is_empty() || answer.starts_with(b"HTTP/1.1 431"));
+    assert_eq!(upstream.requests_so_far(), 1);
+}
+
 #[test]
 fn a_bad_configuration_is_told_plainly() {
     let run = |file: &str| {
