Measure the limit's rise against a proxy's even part, not the room beyond it

The last: learn_leeway takes an answer as idle while in-flight + 1 is under the room's slots, and these now hold what others leave, so the limit of a proxy stayed at its least and was missing as soon as the load was high. It is compared with the even part of the slots again.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -452,7 +452,7 @@
             let others = |load: f64| (load * u - self.rooms[r].in_flight as f64).max(0.0);
             let room = Room { others: self.fleet.load.map(others), n_per_time: n, ..self.rooms[r] };
             let slots = self.share(&room, k, n * (self.fleet.ts + self.fleet.bearable));
-            self.rooms[r] = Room { slots, ..room };
+            self.rooms[r] = Room { slots, even: k * self.part(), ..room };
         }
         let (order, servers) = (&mut self.order, &self.servers);
         let cost = |i: usize| (NEAR + servers[i].reach) * servers[i].est.slow * servers[i].est.slow;
@@ -831,7 +831,7 @@
         f.good += if f.ts < f.good { f.ts - f.good } else { (f.ts - f.good) * GOOD_GAIN };
         // Failure: it fell with every heavy request and rose only at the limit, so where bursts alone reach
         // the limit it never left its least value, and proxies refused beside idle upstreams.
-        let idle = self.rooms[0].in_flight as f64 + 1.0 < self.rooms[0].slots;
+        let idle = self.rooms[0].in_flight as f64 + 1.0 < self.rooms[0].even;
         if idle && outcome == Outcome::Ok {
             return;
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -65,7 +65,9 @@
     pub(crate) in_flight: usize,
     /// What other proxies have out there, where reports tell it.
     pub(crate) others: Option<f64>,
-    /// This proxy's slots, and the sum of 1 / (2*TP_i + TS_i) over live upstreams.
+    /// This proxy's even part of the slots, the slots it has, and the sum of 1 / (2*TP_i + TS_i) over live
+    /// upstreams.
+    pub(crate) even: f64,
     pub(crate) slots: f64,
     pub(crate) n_per_time: f64,
 }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -574,6 +574,32 @@
     (10_000..10_032).filter(|&i| w.out(i).is_some()).count()
 }
 
+/// Requests out of 32 at once, by a proxy that served so many rounds beside idle upstreams, once reports tell of
+/// a full bank.
+fn out_at_a_full_bank_after(rounds: u64) -> usize {
+    let mut w = World::with_servers(Settings { balancers: 8, ..settings() }, 32);
+    let mut serve = |w: &mut World, ids: std::ops::Range<u64>, inflight: f64| {
+        let report = Report { inflight: Some(inflight), ..Report::default() };
+        ids.clone().for_each(|id| w.request(id, 0));
+        w.pass(Span(10 * MS));
+        ids.for_each(|id| w.outcome_with(id, 0, Outcome::Ok, report));
+    };
+    (0..rounds).for_each(|n| serve(&mut w, n * 16..n * 16 + 16, 0.0));
+    (0..40).for_each(|n| serve(&mut w, 10_000 + n..10_001 + n, 50.0));
+    w.pass(Span(20 * MS));
+    (20_000..20_032).for_each(|id| w.request(id, 0));
+    (20_000..20_032).filter(|&id| w.out(id).is_some()).count()
+}
+
+#[test]
+fn room_that_reports_tell_of_does_not_keep_the_limit_from_rising() {
+    let (fresh, learned) = (out_at_a_full_bank_after(0), out_at_a_full_bank_after(100));
+    assert!(
+        learned >= 2 * fresh,
+        "{learned} out after answers beside idle upstreams, {fresh} without"
+    );
+}
+
 #[test]
 fn a_turn_away_where_nothing_waits_does_not_cut_the_limit() {
     let (idle, full) = (slots_after_turn_aways(Some(0.0)), slots_after_turn_aways(Some(20.0)));
