--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -578,7 +578,7 @@
 /// a full bank.
 fn out_at_a_full_bank_after(rounds: u64) -> usize {
     let mut w = World::with_servers(Settings { balancers: 8, ..settings() }, 32);
-    let mut serve = |w: &mut World, ids: std::ops::Range<u64>, inflight: f64| {
+    let serve = |w: &mut World, ids: std::ops::Range<u64>, inflight: f64| {
         let report = Report { inflight: Some(inflight), ..Report::default() };
         ids.clone().for_each(|id| w.request(id, 0));
         w.pass(Span(10 * MS));
