Let the pace to a young upstream rise on past the end of its cold spell

Each proxy had held to its tokens, found the upstream quick, and was let go at the same instant as all others. Line at fault: earned() takes cold_share(), which ends in a step. The pace now goes on along the same line for a second spell.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -55,6 +55,8 @@
 const OWN: f64 = 0.5;
 /// Pace to a young upstream of one's own, as a share of the stated multiple: few proxies own the same one.
 const OWNER_PACE: f64 = 1.0 / 3.0;
+/// The pace goes on to rise for so many times the cold spell. Failure: at its end a whole bank came at once.
+const RAMP_OUT: f64 = 2.0;
 /// A proxy starts with so many times its even part of the bank's slots: clients are never spread evenly.
 const LEEWAY: f64 = 1.2;
 /// Each answer at the limit moves that by so much.
@@ -949,13 +951,14 @@
 impl Balancer {
     /// Share of its capacity that a young upstream has for certain; `None` once warm.
     fn cold_share(&self, now: Time, s: &Server) -> Option<f64> {
-        let age = now.since(s.started?);
+        self.ramp(now, s, 1.0)
+    }
+
+    /// The same line, drawn on for so many times as long.
+    fn ramp(&self, now: Time, s: &Server, times: f64) -> Option<f64> {
         let rules = &self.settings.rules;
-        if age >= rules.cold {
-            return None;
-        }
-        let grown = (age.f() / rules.cold.f()).max(0.0);
-        Some(rules.cold_from + (1.0 - rules.cold_from) * grown)
+        let grown = now.since(s.started?).f().max(0.0) / rules.cold.f().max(1.0);
+        (grown < times).then_some(rules.cold_from + (1.0 - rules.cold_from) * grown)
     }
 
     fn cold_allows(&self, now: Time, s: &Server) -> bool {
@@ -964,7 +967,7 @@
 
     /// Sends that a young upstream has earned by now, one at most; `None` once warm.
     fn earned(&self, now: Time, s: &Server) -> Option<f64> {
-        let share = self.cold_share(now, s)?;
+        let share = self.ramp(now, s, RAMP_OUT)?;
         let elapsed = now.since(s.refilled).f().max(0.0);
         Some((s.tokens + elapsed * self.warm_rate(s) * share).min(1.0))
     }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -298,6 +298,35 @@
     assert!(cold * 2 < warm, "{cold} sends while a warm one had {warm}");
 }
 
+#[test]
+fn the_end_of_its_cold_spell_does_not_bring_a_rush_to_an_upstream() {
+    // Failure: a bank that had kept to a pace came at once, with four times what one upstream can do.
+    let rules = Rules { cold: Span(2000 * MS), ..settings().rules };
+    let mut w = World::with_servers(Settings { rules, ..settings() }, 3);
+    let (mut id, mut round) = (0, 0);
+    let mut tenth = |w: &mut World| {
+        let before = w.sends_to(9);
+        for _ in 0..40 {
+            (id..id + 4).for_each(|i| w.request(i, 0));
+            (id, round) = (id + 4, round + 1);
+            w.pass(Span(5 * MS));
+            let answered = |w: &World, i| round % 4 == 0 || w.out(i).is_some_and(|s| s.0 == 9);
+            for i in id.saturating_sub(40)..id {
+                if answered(w, i) {
+                    w.outcome(i, 0, Outcome::Ok);
+                }
+            }
+        }
+        w.sends_to(9) - before
+    };
+    for _ in 0..5 {
+        tenth(&mut w);
+    }
+    w.list(ListKind::Update, &[Member { started: Some(w.now), ..member(9, 0) }]);
+    let sends: Vec<usize> = (0..12).map(|_| tenth(&mut w)).collect();
+    assert!(2 * sends[10] < 3 * sends[9], "{sends:?} sends in tenths of the spell");
+}
+
 #[test]
 fn asks_for_the_list_again_after_a_break() {
     let mut w = World::new(Settings { must_ask: true, ..settings() });
