Tell every refused client when to come back

A refusal carried Retry-After only where the settings say RetryAfter, so on this site, where they do not, no client was ever told: Settings::checked() took the longest advice for none. PROTOCOL allows the header on any 429 or 503. The simulator's wire still gets advice only where its settings ask for it (instance.rs).

--- a/src/bin/hollowpaddle-benchlink/instance.rs
+++ b/src/bin/hollowpaddle-benchlink/instance.rs
@@ -26,6 +26,8 @@
     who: u64,
     balancer: Balancer,
     classes: usize,
+    /// Whether clients on this wire are given retry advice.
+    advise: bool,
     fields: Vec<Field>,
     servers: FxHashMap<Box<str>, ServerId>,
     server_names: Vec<Box<str>>,
@@ -43,6 +45,7 @@
             who: init.who,
             balancer: Balancer::new(facts.settings(), init.entropy, now)?,
             classes: facts.services.len(),
+            advise: facts.policy_limits.retry_after,
             fields: facts.stats.names.iter().map(|name| Field::named(name)).collect(),
             servers: FxHashMap::default(),
             server_names: Vec::new(),
@@ -199,7 +202,7 @@
                 Action::Refuse { request, retry_after } => {
                     let Some(job) = self.jobs.get_mut(&request.0) else { continue };
                     job.over = true;
-                    let cool_down = ms(retry_after.0);
+                    let cool_down = if self.advise { ms(retry_after.0) } else { 0.0 };
                     write(out, &Command::NotNow { who, job: &job.name, cool_down });
                     self.forget(request.0);
                 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -112,7 +112,7 @@
     pub cancel: bool,
     /// Upstreams may be probed.
     pub probes: bool,
-    /// Clients are given retry advice.
+    /// The simulator's clients are given retry advice; over HTTP a refusal says so in any case.
     pub retry_after: bool,
     /// Longest advice that a client heeds.
     pub max_retry_after: Span,
@@ -302,9 +302,7 @@
         self.tick.0 = self.tick.0.max(100);
         self.balancers = self.balancers.max(1);
         self.limits.max_attempts = self.limits.max_attempts.max(1);
-        // Where clients are given no advice, the longest that they heed is none.
-        let most = if self.limits.retry_after { self.limits.max_retry_after.0.max(0) } else { 0 };
-        self.limits.max_retry_after = Span(most);
+        self.limits.max_retry_after.0 = self.limits.max_retry_after.0.max(0);
         self.rules.cold_from = self.rules.cold_from.clamp(0.01, 1.0);
         self.rules.ask_every.0 = self.rules.ask_every.0.max(self.tick.0.saturating_mul(10));
         Ok(self)
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -129,6 +129,22 @@
     }
 }
 
+#[test]
+fn a_refusal_tells_when_to_come_back_also_where_no_advice_is_promised_to_be_heeded() {
+    let limits = Limits { retry_after: false, ..settings().limits };
+    let mut w = World::with_servers(Settings { limits, ..settings() }, 1);
+    (0..100).for_each(|id| w.request(id, 0));
+    let told: Vec<Span> = w
+        .log
+        .iter()
+        .filter_map(|a| match a {
+            Action::Refuse { retry_after, .. } => Some(*retry_after),
+            _ => None,
+        })
+        .collect();
+    assert!(!told.is_empty() && told.iter().all(|s| s.0 > 0), "{told:?}");
+}
+
 #[test]
 fn refuses_at_once_when_queued_and_in_flight_reach_the_sum_of_n() {
     let mut w = World::with_servers(settings(), 2);
