--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -19,11 +19,12 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::config::Config;
 use crate::engine::{Arrival, Handle, Reply};
+use crate::lifecycle::{LINGER, Lifecycle};
+use crate::succession::Mark;
 use crate::upstreams::Forward;
 
 /// The largest body that either side may send.
@@ -31,12 +32,10 @@
 /// The longest head of a request; a longer one is answered 431. hyper's own limit, some 400 KiB, times a full
 /// table of clients is more than the memory that a balancer has.
 const HEAD_LIMIT: usize = 32 << 10;
-/// How long connections are still accepted after SIGTERM: the front needs a moment to hear of it.
-const LINGER: Duration = Duration::from_millis(500);
 /// After the last deadline, time for the answers to be written.
 const FINISH: Duration = Duration::from_millis(100);
 /// Wait after a failed accept, so that a full descriptor table does not become a busy loop.
-const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
+pub const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 /// How long a connection may take over a request, from connecting or from its head on, and idle between two.
 /// Failure: peers that sent nothing, or never all of it, kept their connections until the table of clients was
 /// full, and proper clients waited in the backlog until their time was up.
@@ -53,11 +52,11 @@
     longest: Duration,
     most: usize,
     open: Cell<usize>,
-    stopping: Cell<bool>,
+    lifecycle: Rc<Lifecycle>,
 }
 
 impl Front {
-    pub fn new(config: &Config, engine: Handle, most: usize) -> Self {
+    pub fn new(config: &Config, engine: Handle, lifecycle: Rc<Lifecycle>, most: usize) -> Self {
         let settings = config.facts.settings();
         let longest = settings.classes.iter().map(|c| c.deadline.0.max(0)).max().unwrap_or(0);
         Self {
@@ -67,27 +66,31 @@
             longest: Duration::from_micros(longest as u64),
             most,
             open: Cell::new(0),
-            stopping: Cell::new(false),
+            lifecycle,
         }
     }
 
     /// Serves until `stop`, then finishes what was taken.
-    pub async fn serve(self: Rc<Self>, listener: TcpListener, stop: impl Future<Output = ()>) {
-        let (close, closing) = watch::channel(false);
-        {
-            let accepting = self.accept(&listener, &closing);
-            tokio::pin!(accepting);
-            tokio::select! {
-                () = &mut accepting => {}
-                () = stop => {}
-            }
-            tracing::info!("stopping");
-            // From here each answer asks its client to go elsewhere; new connections still find us.
-            self.stopping.set(true);
-            let _ = timeout(LINGER, accepting).await;
+    pub async fn serve(
+        self: Rc<Self>,
+        listener: TcpListener,
+        mark: Mark,
+        stop: impl Future<Output = ()>,
+    ) {
+        tokio::select! {
+            () = self.accept(&listener) => {}
+            () = stop => {}
+        }
+        // From here each answer asks its client to go elsewhere.
+        self.lifecycle.stop();
+        // New connections still find us for a moment; where a newer process listens too, they find that one
+        // as soon as we are gone.
+        let succeeded = mark.succeeded();
+        tracing::info!(succeeded, "stopping");
+        if !succeeded {
+            let _ = timeout(LINGER, self.accept(&listener)).await;
         }
-        drop(listener);
-        let _ = close.send(true);
+        self.take_the_rest(listener);
         let finished = async {
             while self.open.get() > 0 {
                 sleep(Duration::from_millis(5)).await;
@@ -97,7 +100,24 @@
         let _ = timeout(self.longest + FINISH, finished).await;
     }
 
-    async fn accept(self: &Rc<Self>, listener: &TcpListener, closing: &watch::Receiver<bool>) {
+    /// Accepts what waits, and closes the listener with an empty queue: what a close finds there is reset.
+    fn take_the_rest(self: &Rc<Self>, listener: TcpListener) {
+        let Ok(listener) = listener.into_std() else { return };
+        // Asked directly: what the runtime has seen of it may be a moment old.
+        while let Ok((stream, _)) = listener.accept() {
+            let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+            if let Ok(stream) = stream {
+                self.take(stream);
+            }
+        }
+    }
+
+    fn take(self: &Rc<Self>, stream: TcpStream) {
+        self.open.set(self.open.get() + 1);
+        tokio::task::spawn_local(self.clone().converse(stream));
+    }
+
+    async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         loop {
             // Left in the backlog, a client waits a moment; without a descriptor it would be dropped.
             if self.open.get() >= self.most {
@@ -105,10 +125,7 @@
                 continue;
             }
             match listener.accept().await {
-                Ok((stream, _)) => {
-                    self.open.set(self.open.get() + 1);
-                    tokio::task::spawn_local(self.clone().converse(stream, closing.clone()));
-                }
+                Ok((stream, _)) => self.take(stream),
                 // Guards against EMFILE and aborted connections: neither is a reason to end.
                 Err(cause) => {
                     tracing::warn!(%cause, "accept");
@@ -119,7 +136,7 @@
     }
 
     /// All requests of one connection.
-    async fn converse(self: Rc<Self>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
+    async fn converse(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         // The first request's time runs from connecting: head and body do not get it twice.
         let connected = Cell::new(Some(Instant::now()));
@@ -135,7 +152,7 @@
         tokio::pin!(connection);
         let closed = tokio::select! {
             ended = &mut connection => Some(ended),
-            _ = closing.wait_for(|c| *c) => None,
+            () = self.lifecycle.time_to_close() => None,
         };
         if closed.is_none() {
             connection.as_mut().graceful_shutdown();
@@ -151,7 +168,7 @@
     ) -> Result<Answer, Infallible> {
         let path = request.uri().path();
         let mut answer = if path == "/-/ready" {
-            let ready = self.engine.ready() && !self.stopping.get();
+            let ready = self.engine.ready() && self.lifecycle.serving();
             bare(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
         } else if path == "/api" || path.starts_with("/api/") {
             self.api(request, whole_by).await
@@ -159,7 +176,7 @@
             bare(StatusCode::NOT_FOUND)
         };
         // Close to the limit, connections are given back so that waiting clients get their turn.
-        if self.stopping.get() || self.open.get() + self.most / 8 >= self.most {
+        if !self.lifecycle.serving() || self.open.get() + self.most / 8 >= self.most {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(answer)
--- a/src/bin/hollowpaddle/config.rs
+++ b/src/bin/hollowpaddle/config.rs
@@ -6,10 +6,11 @@
 use serde::Deserialize;
 
 use crate::discovery::List;
+use crate::management;
 
 /// Descriptors that are neither a client's nor an upstream's: standard streams, the event queue, the
-/// listener, the watch, signals.
-const RESERVED: usize = 24;
+/// listeners, the watch, signals; and the calls of operators.
+const RESERVED: usize = 24 + management::SHARE;
 /// Where the platform states no limit.
 const SOCKETS: usize = 1024;
 
@@ -37,6 +38,8 @@
     #[serde(default)]
     discovery: String,
     #[serde(default)]
+    management: Option<String>,
+    #[serde(default)]
     seed: Option<String>,
     #[serde(default)]
     limits: FileLimits,
@@ -70,6 +73,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub management: Option<SocketAddr>,
     pub seed: u64,
     pub sockets: usize,
     pub known: List,
@@ -89,14 +94,20 @@
         let say = |name: &str, file: String| std::env::var(name).unwrap_or(file);
         let address = |name: &'static str, file: String| address(name, say(name, file));
         let sockets = file.limits.sockets.unwrap_or(SOCKETS);
-        if sockets < 4 * RESERVED {
+        if sockets < 2 * RESERVED {
             return Err(ConfigError::TooFewSockets(sockets));
         }
+        let management = match (std::env::var("LB_MANAGEMENT"), file.management) {
+            (Ok(said), _) => Some(self::address("LB_MANAGEMENT", said)?),
+            (Err(_), Some(said)) => Some(self::address("management", said)?),
+            (Err(_), None) => None,
+        };
         let seed = file.seed.unwrap_or_default();
         Ok(Self {
             name: say("LB_NAME", file.name),
             listen: address("LB_LISTEN", file.listen)?,
             discovery: address("LB_DISCOVERY", file.discovery)?,
+            management,
             seed: hollowpaddle::settings::key_hash(&seed),
             sockets,
             known: file.known,
--- a/src/bin/hollowpaddle/main.rs
+++ b/src/bin/hollowpaddle/main.rs
@@ -8,18 +8,23 @@
 mod config;
 mod discovery;
 mod engine;
+mod lifecycle;
+mod management;
+mod succession;
 mod upstreams;
 
 use std::process::ExitCode;
 use std::rc::Rc;
 
-use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
 
 use clients::Front;
 use config::Config;
 use engine::{Engine, Handle};
+use lifecycle::Lifecycle;
+use management::Management;
+use succession::{Mark, listen};
 use upstreams::Pool;
 
 fn main() -> ExitCode {
@@ -43,18 +48,26 @@
 async fn run(config: Config) -> Result<(), String> {
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
-    let listener = TcpListener::bind(config.listen).await;
-    let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
+    let open = |address| listen(address).map_err(|e| format!("listen on {address}: {e}"));
+    let listener = open(config.listen)?;
+    let calls = config.management.map(open).transpose()?;
     let budget = config.budget();
     let pool = Pool::new(budget.upstreams, &config);
     let (engine, handle) = Engine::new(&config, pool).map_err(|e| format!("settings: {e}"))?;
     let engine = tokio::task::spawn_local(engine.run());
     tokio::task::spawn_local(reconfigure(hangup, handle.clone()));
+    let lifecycle = Rc::new(Lifecycle::new());
+    if let Some(calls) = calls {
+        let at = calls.local_addr().map_err(|e| format!("management address: {e}"))?;
+        tracing::info!("operators call at {at}");
+        let management = Management::new(handle.clone(), lifecycle.clone());
+        tokio::task::spawn_local(management.serve(calls));
+    }
     // The bound address, not the wanted one: with port 0 it is the only word of where clients connect.
     let bound = listener.local_addr().map_err(|e| format!("listen on {}: {e}", config.listen))?;
     tracing::info!(name = config.name, "listening on {bound}");
-    let front = Rc::new(Front::new(&config, handle, budget.clients));
-    let serve = front.serve(listener, async move {
+    let front = Rc::new(Front::new(&config, handle, lifecycle, budget.clients));
+    let serve = front.serve(listener, Mark::leave(bound), async move {
         term.recv().await;
     });
     tokio::select! {
--- /dev/null
+++ b/src/bin/hollowpaddle/management.rs
@@ -0,0 +1,147 @@
+//! The operators' address: one call to a connection, answered beside any load and any number of callers that
+//! hold a connection and never finish their call.
+
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{ALLOW, CONTENT_TYPE, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+
+use crate::clients::ACCEPT_BACKOFF;
+use crate::engine::Handle;
+use crate::lifecycle::Lifecycle;
+use crate::upstreams::AbortOnDrop;
+
+/// Descriptors for calls. A whole call is answered as soon as it is read, so a full share means callers that
+/// don't finish theirs.
+pub const SHARE: usize = 16;
+/// A call takes no longer than this, from connecting to the last byte of its answer.
+const CALL_WITHIN: Duration = Duration::from_secs(2);
+/// The longest head; the least that hyper takes.
+const HEAD_LIMIT: usize = 8 << 10;
+/// Calls have no body to speak of.
+const BODY_LIMIT: usize = 4 << 10;
+
+type Answer = Response<Full<Bytes>>;
+
+#[derive(Clone, Copy)]
+enum Call {
+    Health,
+    Quiesce,
+    Resume,
+}
+
+impl Call {
+    fn at(path: &str) -> Option<Self> {
+        match path {
+            "/admin/health" => Some(Call::Health),
+            "/admin/quiesce" => Some(Call::Quiesce),
+            "/admin/resume" => Some(Call::Resume),
+            _ => None,
+        }
+    }
+
+    fn method(self) -> Method {
+        match self {
+            Call::Health => Method::GET,
+            Call::Quiesce | Call::Resume => Method::POST,
+        }
+    }
+}
+
+pub struct Management {
+    engine: Handle,
+    lifecycle: Rc<Lifecycle>,
+}
+
+impl Management {
+    pub fn new(engine: Handle, lifecycle: Rc<Lifecycle>) -> Rc<Self> {
+        Rc::new(Self { engine, lifecycle })
+    }
+
+    /// Answers calls for as long as the process runs.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+        let mut calls = VecDeque::new();
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    calls.retain(|c: &AbortOnDrop| !c.0.is_finished());
+                    // The oldest has had the longest time to finish its call.
+                    if calls.len() >= SHARE {
+                        calls.pop_front();
+                    }
+                    let call = tokio::task::spawn_local(self.clone().call(stream));
+                    calls.push_back(AbortOnDrop(call));
+                }
+                Err(cause) => {
+                    tracing::warn!(%cause, "accept a call");
+                    sleep(ACCEPT_BACKOFF).await;
+                }
+            }
+        }
+    }
+
+    async fn call(self: Rc<Self>, stream: TcpStream) {
+        let service = service_fn(|request| self.answer(request));
+        let connection = http1::Builder::new()
+            .keep_alive(false)
+            .max_buf_size(HEAD_LIMIT)
+            .serve_connection(TokioIo::new(stream), service);
+        let _ = timeout(CALL_WITHIN, connection).await;
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Result<Answer, Infallible> {
+        let (head, body) = request.into_parts();
+        if Limited::new(body, BODY_LIMIT).collect().await.is_err() {
+            return Ok(say(StatusCode::BAD_REQUEST, json!({"error": "the body"})));
+        }
+        let Some(call) = Call::at(head.uri.path()) else {
+            return Ok(say(StatusCode::NOT_FOUND, json!({"error": "no such call"})));
+        };
+        let method = call.method();
+        if head.method != method {
+            let mut answer = say(StatusCode::METHOD_NOT_ALLOWED, json!({"error": "the method"}));
+            if let Ok(value) = HeaderValue::from_str(method.as_str()) {
+                answer.headers_mut().insert(ALLOW, value);
+            }
+            return Ok(answer);
+        }
+        Ok(match call {
+            Call::Health => self.health(),
+            Call::Quiesce => self.turned(self.lifecycle.quiesce()),
+            Call::Resume => self.turned(self.lifecycle.resume()),
+        })
+    }
+
+    fn health(&self) -> Answer {
+        let upstreams = self.engine.ready();
+        let ready = upstreams && self.lifecycle.serving();
+        let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        let phase = self.lifecycle.phase().name();
+        say(status, json!({"ready": ready, "phase": phase, "upstreams": upstreams}))
+    }
+
+    /// Only a process that is stopping says no: that can't be undone.
+    fn turned(&self, done: bool) -> Answer {
+        let status = if done { StatusCode::OK } else { StatusCode::CONFLICT };
+        say(status, json!({"phase": self.lifecycle.phase().name()}))
+    }
+}
+
+fn say(status: StatusCode, text: Value) -> Answer {
+    let mut answer = Response::new(Full::from(format!("{text}\n")));
+    *answer.status_mut() = status;
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer
+}
--- /dev/null
+++ b/src/bin/hollowpaddle/succession.rs
@@ -0,0 +1,48 @@
+//! Whether a newer process listens at the same address: two share it while one replaces the other.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use socket2::{Domain, Protocol, Socket, Type};
+use tokio::net::TcpListener;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1024;
+
+/// Listens where an older process of this program may still listen too.
+pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
+/// The file that names the process which came last to an address. A file, for a process that is replaced
+/// hears of it from nobody: its successor knows neither its id nor where its operators call.
+pub struct Mark {
+    path: PathBuf,
+    own: String,
+}
+
+impl Mark {
+    /// Marks this process as the newest at `listen`.
+    pub fn leave(listen: SocketAddr) -> Self {
+        let name = listen.to_string().replace(|c: char| !c.is_ascii_alphanumeric(), "-");
+        let path = std::env::temp_dir().join(format!("hollowpaddle-newest-{name}"));
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let own = format!("{}-{}", std::process::id(), since.as_nanos());
+        if let Err(cause) = std::fs::write(&path, &own) {
+            tracing::warn!(%cause, path = %path.display(), "no mark left for a process replaced");
+        }
+        Self { path, own }
+    }
+
+    /// Whether a newer process has left its mark since. In doubt there is none.
+    pub fn succeeded(&self) -> bool {
+        std::fs::read_to_string(&self.path).is_ok_and(|newest| newest != self.own)
+    }
+}
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -223,6 +223,8 @@
 pub struct Node {
     pub child: Child,
     pub address: SocketAddr,
+    /// Where operators call, if the node was told to listen for them.
+    pub management: Option<SocketAddr>,
     pub discovery: Discovery,
     config: std::path::PathBuf,
 }
@@ -252,33 +254,65 @@
     }
 
     /// Starts it by this command, and waits until it listens.
-    pub fn start_by(mut command: Command, config: &Value) -> Self {
+    pub fn start_by(command: Command, config: &Value) -> Self {
+        Self::start_at(command, config, SocketAddr::from(([127, 0, 0, 1], 0)))
+    }
+
+    /// Starts it with an address for operators.
+    pub fn managed(config: &Value) -> Self {
+        Self::managed_at(config, SocketAddr::from(([127, 0, 0, 1], 0)))
+    }
+
+    /// The same, with clients at this address.
+    pub fn managed_at(config: &Value, listen: SocketAddr) -> Self {
+        let mut command = Command::new(NODE);
+        command.env("LB_MANAGEMENT", "127.0.0.1:0");
+        Self::start_at(command, config, listen)
+    }
+
+    fn start_at(mut command: Command, config: &Value, listen: SocketAddr) -> Self {
         let discovery = Discovery::start();
         let path = write_config(&config.to_string());
         let mut child = command
             .env("LB_NAME", "n0")
-            .env("LB_LISTEN", "127.0.0.1:0")
+            .env("LB_LISTEN", listen.to_string())
             .env("LB_DISCOVERY", discovery.address.to_string())
             .env("LB_CONFIG", &path)
             .stderr(Stdio::piped())
             .spawn()
             .expect("the node starts");
         let mut log = BufReader::new(child.stderr.take().expect("piped")).lines();
+        let told = |rest: &str| {
+            rest.split_whitespace().next().expect("an address").parse().expect("valid")
+        };
+        let mut management = None;
         let address = loop {
             let line = log.next().expect("a word of where it listens").expect("UTF-8");
+            if let Some((_, rest)) = line.split_once("operators call at ") {
+                management = Some(told(rest));
+            }
             if let Some((_, rest)) = line.split_once("listening on ") {
-                break rest.split_whitespace().next().expect("an address").parse().expect("valid");
+                break told(rest);
             }
         };
         // The pipe must not fill up.
         thread::spawn(move || log.for_each(|l| eprintln!("node: {}", l.unwrap_or_default())));
-        Self { child, address, discovery, config: path }
+        Self { child, address, management, discovery, config: path }
     }
 
     pub fn client(&self) -> Client {
         Client::to(self.address)
     }
 
+    /// One call of an operator, on a connection of its own: `GET /admin/health`.
+    pub fn call(&self, what: &str) -> Message {
+        let mut client = Client::to(self.management.expect("an address for operators"));
+        let answer =
+            client.ask(&format!("{what} HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"));
+        assert!(client.answer().is_none(), "one call to a connection");
+        answer
+    }
+
     pub fn exit_code(&mut self) -> Option<i32> {
         let from = Instant::now();
         while from.elapsed() < SOON {
@@ -315,7 +349,10 @@
         Ok(Self(BufReader::new(stream)))
     }
     pub fn send(&mut self, text: &str) {
-        self.0.get_mut().write_all(text.as_bytes()).expect("written");
+        self.try_send(text).expect("written");
+    }
+    pub fn try_send(&mut self, text: &str) -> std::io::Result<()> {
+        self.0.get_mut().write_all(text.as_bytes())
     }
     /// The next answer; `None` where the connection ends first.
     pub fn answer(&mut self) -> Option<Message> {
