--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use hollowpaddle::interface::{Effect, Span};
 use hollowpaddle::settings::{Facts, key_hash};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, COOKIE, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue,
     RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
@@ -21,8 +21,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
+use crate::bodies::AnswerBody;
 use crate::config::Config;
 use crate::engine::{Arrival, Handle, Reply};
+use crate::figures::{End, Figures};
 use crate::lifecycle::{LINGER, Lifecycle};
 use crate::succession::Mark;
 use crate::upstreams::Forward;
@@ -43,10 +45,11 @@
 /// No client waits longer than this; a figure beyond it is a mistake.
 const LONGEST_DEADLINE_MS: u64 = 3_600_000;
 
-type Answer = Response<Full<Bytes>>;
+type Answer = Response<AnswerBody>;
 
 pub struct Front {
     engine: Handle,
+    figures: Rc<Figures>,
     facts: Facts,
     effects: Vec<Effect>,
     longest: Duration,
@@ -56,11 +59,18 @@
 }
 
 impl Front {
-    pub fn new(config: &Config, engine: Handle, lifecycle: Rc<Lifecycle>, most: usize) -> Self {
+    pub fn new(
+        config: &Config,
+        engine: Handle,
+        lifecycle: Rc<Lifecycle>,
+        figures: Rc<Figures>,
+        most: usize,
+    ) -> Self {
         let settings = config.facts.settings();
         let longest = settings.classes.iter().map(|c| c.deadline.0.max(0)).max().unwrap_or(0);
         Self {
             engine,
+            figures,
             facts: config.facts.clone(),
             effects: settings.classes.iter().map(|c| c.effect).collect(),
             longest: Duration::from_micros(longest as u64),
@@ -199,7 +209,8 @@
             headers: onward(head.headers, body.len()),
             body,
         };
-        match self.engine.ask(arrival, forward).await {
+        let taken = self.figures.take(arrival.class);
+        let (end, answer) = match self.engine.ask(arrival, forward).await {
             Reply::Served(response) => {
                 let (mut head, body) = response.into_parts();
                 end_to_end(&mut head.headers);
@@ -207,20 +218,22 @@
                     head.headers.remove(internal);
                 }
                 head.headers.remove(CONTENT_LENGTH);
-                let mut answer = Response::new(Full::new(body));
+                let mut answer = Response::new(AnswerBody::whole(body));
                 *answer.headers_mut() = head.headers;
-                answer
+                (End::Served, answer)
             }
             Reply::Refused { retry_after } => {
                 let mut answer = bare(StatusCode::SERVICE_UNAVAILABLE);
                 if let Some(value) = seconds(retry_after) {
                     answer.headers_mut().insert(RETRY_AFTER, value);
                 }
-                answer
+                (End::Refused, answer)
             }
-            Reply::Failed { late: true } => bare(StatusCode::GATEWAY_TIMEOUT),
-            Reply::Failed { late: false } => bare(StatusCode::BAD_GATEWAY),
-        }
+            Reply::Failed { late: true } => (End::Failed, bare(StatusCode::GATEWAY_TIMEOUT)),
+            Reply::Failed { late: false } => (End::Failed, bare(StatusCode::BAD_GATEWAY)),
+        };
+        taken.ends(end);
+        answer.map(|body| body.of(taken))
     }
 
     /// Reads what the module needs to know; the error names what is wrong.
@@ -265,13 +278,13 @@
 }
 
 fn bare(status: StatusCode) -> Answer {
-    let mut answer = Response::new(Full::default());
+    let mut answer = Response::new(AnswerBody::default());
     *answer.status_mut() = status;
     answer
 }
 
 fn malformed(what: &str) -> Answer {
-    let mut answer = Response::new(Full::from(format!("malformed: {what}\n")));
+    let mut answer = Response::new(AnswerBody::whole(format!("malformed: {what}\n").into()));
     *answer.status_mut() = StatusCode::BAD_REQUEST;
     answer
 }
--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -34,12 +34,28 @@
 
 /// What the engine is told.
 pub enum Note {
-    Arrived { id: RequestId, arrival: Arrival, forward: Forward, reply: oneshot::Sender<Reply> },
+    Arrived {
+        id: RequestId,
+        arrival: Arrival,
+        forward: Forward,
+        reply: oneshot::Sender<Reply>,
+    },
     Left(RequestId),
-    Ended { id: RequestId, attempt: usize, ended: Ended },
-    Listed { serial: u64, list: List },
-    WatchEnded { serial: u64 },
+    Ended {
+        id: RequestId,
+        attempt: usize,
+        ended: Ended,
+    },
+    Listed {
+        serial: u64,
+        list: List,
+    },
+    WatchEnded {
+        serial: u64,
+    },
     DiscoveryMoved(SocketAddr),
+    /// How many upstreams the list names, and how many of them the module avoids.
+    Pool(oneshot::Sender<(usize, usize)>),
 }
 
 /// A request as the module needs to know it.
@@ -79,6 +95,13 @@
         let _ = self.notes.send(Note::DiscoveryMoved(address));
     }
 
+    /// How many upstreams the list names, and how many of them get nothing now.
+    pub async fn pool(&self) -> (usize, usize) {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.notes.send(Note::Pool(reply));
+        answer.await.unwrap_or_default()
+    }
+
     /// Hands in a request and waits for its answer. Dropped before that, it tells that the client left.
     pub async fn ask(&self, arrival: Arrival, forward: Forward) -> Reply {
         let id = RequestId(self.next.replace(self.next.get() + 1));
@@ -279,6 +302,9 @@
                 self.discovery = address;
                 self.subscribe();
             }
+            Note::Pool(reply) => {
+                let _ = reply.send(self.balancer.pool(self.clock.now()));
+            }
             Note::Listed { serial, list } => {
                 if serial == self.watch_serial {
                     let whole = list.complete;
--- a/src/bin/hollowpaddle/main.rs
+++ b/src/bin/hollowpaddle/main.rs
@@ -4,10 +4,12 @@
 //! what it says; only the engine touches the module.
 #![forbid(unsafe_code)]
 
+mod bodies;
 mod clients;
 mod config;
 mod discovery;
 mod engine;
+mod figures;
 mod lifecycle;
 mod management;
 mod succession;
@@ -22,6 +24,7 @@
 use clients::Front;
 use config::Config;
 use engine::{Engine, Handle};
+use figures::Figures;
 use lifecycle::Lifecycle;
 use management::Management;
 use succession::{Mark, listen};
@@ -52,7 +55,8 @@
     let listener = open(config.listen)?;
     let calls = config.management.map(open).transpose()?;
     let budget = config.budget();
-    let pool = Pool::new(budget.upstreams, &config);
+    let figures = Figures::new(&config);
+    let pool = Pool::new(budget.upstreams, &config, figures.tries.clone());
     let (engine, handle) = Engine::new(&config, pool).map_err(|e| format!("settings: {e}"))?;
     let engine = tokio::task::spawn_local(engine.run());
     tokio::task::spawn_local(reconfigure(hangup, handle.clone()));
@@ -60,13 +64,13 @@
     if let Some(calls) = calls {
         let at = calls.local_addr().map_err(|e| format!("management address: {e}"))?;
         tracing::info!("operators call at {at}");
-        let management = Management::new(handle.clone(), lifecycle.clone());
+        let management = Management::new(handle.clone(), lifecycle.clone(), figures.clone());
         tokio::task::spawn_local(management.serve(calls));
     }
     // The bound address, not the wanted one: with port 0 it is the only word of where clients connect.
     let bound = listener.local_addr().map_err(|e| format!("listen on {}: {e}", config.listen))?;
     tracing::info!(name = config.name, "listening on {bound}");
-    let front = Rc::new(Front::new(&config, handle, lifecycle, budget.clients));
+    let front = Rc::new(Front::new(&config, handle, lifecycle, figures, budget.clients));
     let serve = front.serve(listener, Mark::leave(bound), async move {
         term.recv().await;
     });
--- a/src/bin/hollowpaddle/management.rs
+++ b/src/bin/hollowpaddle/management.rs
@@ -20,6 +20,7 @@
 
 use crate::clients::ACCEPT_BACKOFF;
 use crate::engine::Handle;
+use crate::figures::Figures;
 use crate::lifecycle::Lifecycle;
 use crate::upstreams::AbortOnDrop;
 
@@ -38,6 +39,7 @@
 #[derive(Clone, Copy)]
 enum Call {
     Health,
+    Stats,
     Quiesce,
     Resume,
 }
@@ -46,6 +48,7 @@
     fn at(path: &str) -> Option<Self> {
         match path {
             "/admin/health" => Some(Call::Health),
+            "/admin/stats" => Some(Call::Stats),
             "/admin/quiesce" => Some(Call::Quiesce),
             "/admin/resume" => Some(Call::Resume),
             _ => None,
@@ -54,7 +57,7 @@
 
     fn method(self) -> Method {
         match self {
-            Call::Health => Method::GET,
+            Call::Health | Call::Stats => Method::GET,
             Call::Quiesce | Call::Resume => Method::POST,
         }
     }
@@ -63,11 +66,12 @@
 pub struct Management {
     engine: Handle,
     lifecycle: Rc<Lifecycle>,
+    figures: Rc<Figures>,
 }
 
 impl Management {
-    pub fn new(engine: Handle, lifecycle: Rc<Lifecycle>) -> Rc<Self> {
-        Rc::new(Self { engine, lifecycle })
+    pub fn new(engine: Handle, lifecycle: Rc<Lifecycle>, figures: Rc<Figures>) -> Rc<Self> {
+        Rc::new(Self { engine, lifecycle, figures })
     }
 
     /// Answers calls for as long as the process runs.
@@ -119,6 +123,7 @@
         }
         Ok(match call {
             Call::Health => self.health(),
+            Call::Stats => say(StatusCode::OK, self.figures.told(self.engine.pool().await)),
             Call::Quiesce => self.turned(self.lifecycle.quiesce()),
             Call::Resume => self.turned(self.lifecycle.resume()),
         })
--- a/src/bin/hollowpaddle/upstreams.rs
+++ b/src/bin/hollowpaddle/upstreams.rs
@@ -76,7 +76,23 @@
 
 /// Bytes handed to the kernel on a connection. What was not handed over cannot have run.
 #[derive(Clone, Default)]
-struct Written(Rc<Cell<u64>>);
+struct Written {
+    bytes: Rc<Cell<u64>>,
+    /// At so many, the attempt that is out is whole.
+    whole_at: Rc<Cell<Option<u64>>>,
+    /// Attempts that were whole, on all connections.
+    tries: Rc<Cell<u64>>,
+}
+
+impl Written {
+    fn add(&self, n: usize) {
+        self.bytes.set(self.bytes.get() + n as u64);
+        if self.whole_at.get().is_some_and(|at| self.bytes.get() >= at) {
+            self.whole_at.set(None);
+            self.tries.set(self.tries.get() + 1);
+        }
+    }
+}
 
 /// A stream that counts what is written.
 struct Counted {
@@ -101,7 +117,7 @@
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
         let n = ready!(Pin::new(&mut *self.inner.borrow_mut()).poll_write(cx, buf))?;
-        self.written.0.set(self.written.0.get() + n as u64);
+        self.written.add(n);
         Poll::Ready(Ok(n))
     }
 
@@ -111,7 +127,7 @@
         bufs: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
         let n = ready!(Pin::new(&mut *self.inner.borrow_mut()).poll_write_vectored(cx, bufs))?;
-        self.written.0.set(self.written.0.get() + n as u64);
+        self.written.add(n);
         Poll::Ready(Ok(n))
     }
 
@@ -174,10 +190,12 @@
     idle_limit: Duration,
     connect_timeout: Duration,
     fields: Vec<(String, Field)>,
+    tries: Rc<Cell<u64>>,
 }
 
 impl Pool {
-    pub fn new(most: usize, config: &Config) -> Rc<Self> {
+    /// Counts in `tries` the attempts that were written whole.
+    pub fn new(most: usize, config: &Config, tries: Rc<Cell<u64>>) -> Rc<Self> {
         let limits = &config.facts.policy_limits;
         let ms = |ms: f64, default: f64| {
             let ms = if ms > 0.0 && ms < 1e7 { ms } else { default };
@@ -191,6 +209,7 @@
             idle_limit: ms(limits.keepalive, 5000.0).mul_f64(IDLE_OF_KEEPALIVE),
             connect_timeout: ms(limits.connect_timeout, 250.0),
             fields: names.iter().map(|n| (n.clone(), Field::named(n))).collect(),
+            tries,
         });
         let weak = Rc::downgrade(&pool);
         tokio::task::spawn_local(async move {
@@ -263,7 +282,7 @@
         let connect = timeout(self.connect_timeout, TcpStream::connect(address));
         let stream = connect.await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
-        let written = Written::default();
+        let written = Written { tries: self.tries.clone(), ..Written::default() };
         let stream = Rc::new(RefCell::new(TokioIo::new(stream)));
         let weak = Rc::downgrade(&stream);
         let io = Counted { inner: stream, written: written.clone() };
@@ -393,10 +412,12 @@
 
 impl Sent {
     fn start(&mut self, written: &Written) {
-        self.written = Some((written.clone(), written.0.get()));
+        let from = written.bytes.get();
+        written.whole_at.set(Some(from + self.size));
+        self.written = Some((written.clone(), from));
     }
     fn bytes(&self) -> u64 {
-        self.written.as_ref().map_or(0, |(w, from)| w.0.get() - from)
+        self.written.as_ref().map_or(0, |(w, from)| w.bytes.get() - from)
     }
     fn untouched(&self) -> bool {
         self.bytes() == 0
@@ -453,15 +474,17 @@
         let mut sent = Sent::default();
         assert!(sent.untouched() && sent.never_whole(), "no connection yet");
         let written = Written::default();
-        written.0.set(1000); // An earlier request on the same connection.
+        written.bytes.set(1000); // An earlier request on the same connection.
         assert!(forward.request(Instant::now(), &mut sent).is_some());
         sent.start(&written);
         assert!(sent.untouched() && sent.never_whole());
-        written.0.set(1000 + 10);
+        written.add(10);
         assert!(!sent.untouched() && sent.never_whole(), "head and body are longer than the body");
+        assert_eq!(written.tries.get(), 0);
         // `POST /api HTTP/1.1`, X-Deadline-Ms and the body, and not a byte less.
         let whole = "POST /api HTTP/1.1\r\nx-deadline-ms: 0\r\n\r\n0123456789".len();
-        written.0.set(1000 + whole as u64);
+        written.add(whole - 10);
         assert!(!sent.never_whole());
+        assert_eq!(written.tries.get(), 1, "and it counts as a try, once");
     }
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -239,17 +239,6 @@
     level: Vec<Level>,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Level {
-    /// This round: time spent at the level, and work done there.
-    time: f64,
-    done: f64,
-    /// Of all rounds: work done, and what the level in use would have done in that time. A fleet that slows
-    /// down as a whole changes neither against the other.
-    all: f64,
-    expected: f64,
-}
-
 impl Lanes {
     fn new() -> Self {
         Self { count: 1, level: vec![Level::default(); MOST_LANES + 1] }
@@ -429,6 +418,13 @@
         Some((s.in_flight, self.k(s, 0), self.n_rate(s) * t.f()))
     }
 
+    /// How many upstreams the list names, and how many of them get no request now; for gauges.
+    pub fn pool(&self, now: Time) -> (usize, usize) {
+        let listed = self.servers.iter().filter(|s| s.status != Status::Gone);
+        let shut = |s: &&Server| now < s.breaker.until || s.by_class.iter().all(|b| now < b.until);
+        (listed.clone().count(), listed.filter(shut).count())
+    }
+
     fn refresh_fleet(&mut self, now: Time) {
         let (mut tp2, mut seen) = (0.0, 0.0);
         for t in self.servers.iter().filter_map(|s| s.est.tp2) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -72,6 +72,18 @@
     pub(crate) n_per_time: f64,
 }
 
+/// What was seen of a kind of upstream while so many own requests were out there.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Level {
+    /// This round: time spent at the level, and work done there.
+    pub(crate) time: f64,
+    pub(crate) done: f64,
+    /// Of all rounds: work done, and what the level in use would have done in that time. A fleet that slows
+    /// down as a whole changes neither against the other.
+    pub(crate) all: f64,
+    pub(crate) expected: f64,
+}
+
 /// A tenant's share at this proxy, as a bucket of requests.
 #[derive(Debug)]
 pub(crate) struct Quota {
--- a/tests/operations/mod.rs
+++ b/tests/operations/mod.rs
@@ -165,3 +165,74 @@
     let told = run(&mut Command::new(NODE), &file);
     assert!(told.contains("management is not an address"), "{told}");
 }
+
+fn stats(node: &Node) -> serde_json::Value {
+    let answer = node.call("GET /admin/stats");
+    assert_eq!(answer.status(), 200);
+    serde_json::from_slice(&answer.body).expect("JSON")
+}
+
+#[test]
+fn the_figures_are_those_of_what_happened() {
+    let (go, waits) = channel();
+    let waits = Arc::new(Mutex::new(waits));
+    let upstream = Upstream::start(move |m| match m.header("x-request-id") {
+        "fails" => answers("500 Internal Server Error", ""),
+        "waits" => Does::Waits(waits.clone()),
+        _ => ok("ok"),
+    });
+    let dead = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let gone = member("s-1", dead.local_addr().expect("an address"), "DELETED");
+    let mut known = members(&[&upstream]);
+    known.push(gone);
+    let node = Node::managed(&config(known));
+    let none = serde_json::json!({"ok": 0, "shed": 0, "errors": 0});
+    let fresh = serde_json::json!({
+        "responses": {"read": none, "log": none, "alarm": none},
+        "tries": 0, "active": 0, "pool_size": 1, "pool_ejected": 0,
+    });
+    assert_eq!(stats(&node), fresh);
+    let mut client = node.client();
+    for _ in 0..3 {
+        assert_eq!(client.ask(&read("r", 5000)).status(), 200);
+    }
+    assert_eq!(client.ask(&alarm("fails", 5000, "x")).status(), 502);
+    // Not a request at all: it counts for nothing.
+    assert_eq!(node.client().ask("GET /api HTTP/1.1\r\nHost: a\r\n\r\n").status(), 400);
+    client.send(&read("waits", 5000));
+    let seen = |what: &str, wanted: serde_json::Value| {
+        until(what, || stats(&node).pointer(what).is_some_and(|v| *v == wanted));
+    };
+    seen("/active", 1.into());
+    seen("/tries", 5.into());
+    // One slot is taken and its like can't wait for ever: of twenty more, most are refused.
+    let mut crowd: Vec<Client> = (0..20).map(|_| node.client()).collect();
+    crowd.iter_mut().for_each(|c| c.send(&alarm("r", 5000, "x")));
+    until("none refused", || stats(&node)["responses"]["alarm"]["shed"] != 0);
+    go.send(()).expect("the upstream waits");
+    assert_eq!(client.answer().expect("an answer").status(), 200);
+    let answered = crowd.iter_mut().map(|c| c.answer().expect("an answer").status());
+    let served = answered.filter(|s| *s == 200).count();
+    seen("/active", 0.into());
+    seen("/responses/read", serde_json::json!({"ok": 4, "shed": 0, "errors": 0}));
+    let alarms = serde_json::json!({"ok": served, "shed": 20 - served, "errors": 1});
+    seen("/responses/alarm", alarms);
+    seen("/tries", (5 + served).into());
+}
+
+#[test]
+fn an_upstream_out_of_reach_counts_as_ejected() {
+    let dead = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = dead.local_addr().expect("an address");
+    drop(dead);
+    let node = Node::managed(&config(vec![member("s-0", address, "SERVING")]));
+    // It rests for longer each time, up to seconds: in between it is tried.
+    until("never avoided", || {
+        node.client().ask(&read("r", 1000));
+        stats(&node)["pool_ejected"] == 1
+    });
+    assert_eq!(
+        (stats(&node)["pool_size"].clone(), stats(&node)["tries"].clone()),
+        (1.into(), 0.into())
+    );
+}
