--- a/src/bin/hollowpaddle-benchlink/instance.rs
+++ b/src/bin/hollowpaddle-benchlink/instance.rs
@@ -71,6 +71,7 @@
             cost_guess: m.cost_guess.map(span),
             resent: m.resent,
             write: m.write,
+            coming: false,
         };
         let name: Box<str> = m.job.as_ref().into();
         self.by_name.insert(name.clone(), self.next_job);
@@ -99,6 +100,7 @@
             outcome,
             latency: span(m.latency),
             last: m.last,
+            spent: false,
             report: self.report(m.metrics.as_ref()),
         };
         self.balancer.handle(now, Event::Answered(answer), &mut self.actions);
--- a/src/bin/hollowpaddle/bodies.rs
+++ b/src/bin/hollowpaddle/bodies.rs
@@ -1,50 +1,403 @@
-//! Bodies on their way through.
+//! Bodies on their way through: what is kept whole, and what is passed on as fast as the other side takes it.
 
-use std::convert::Infallible;
+use std::cell::{Cell, RefCell};
+use std::future::{Future, poll_fn};
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
-use bytes::Bytes;
-use hyper::body::{Body, Frame, SizeHint};
+use bytes::{Bytes, BytesMut};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::sync::Notify;
+use tokio::time::{Instant, Sleep, sleep, timeout};
 
-use crate::figures::Taken;
+use crate::figures::{End, Taken};
+use crate::upstreams::Relay;
 
-/// The body of an answer to a client, and with it the request's place in the figures.
+/// A body or an answer up to this size is kept whole; of a larger one, no more than its first part.
+pub const KEPT: usize = 64 << 10;
+/// The largest body of a request.
+pub const LARGEST: u64 = 32 << 20;
+/// What one connection buffers on the way, on either side.
+pub const BUFFER: usize = 32 << 10;
+/// Bytes a second that a client has to send of a body. Slow ones are owed 64 kB/s; the rest is for pieces that
+/// come unevenly.
+const LEAST_RATE: f64 = 48_000.0;
+/// Most of the time won by sending faster that may be used up in one wait.
+const LONGEST_WAIT: Duration = Duration::from_millis(2500);
+/// How long the rest of a body is still read after its request was answered: closed with bytes unread, a
+/// connection is reset, and its client may never see the answer.
+const DRAIN: Duration = Duration::from_secs(3);
+
+/// Why a body ended before its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Broken {
+    #[error("it comes too slowly")]
+    Slow,
+    #[error("it is too large")]
+    TooLarge,
+    #[error("it was cut off or is malformed")]
+    Cut,
+}
+
+/// Memory that kept bodies may use, for the whole process. When it is used up, more is passed on and less is
+/// kept: that costs second attempts, not the process.
+pub struct Memory {
+    most: usize,
+    used: Cell<usize>,
+}
+
+/// A part of it, given back when dropped.
+pub struct Hold {
+    memory: Rc<Memory>,
+    bytes: usize,
+}
+
+impl Memory {
+    pub fn new(most: usize) -> Rc<Self> {
+        Rc::new(Self { most, used: Cell::new(0) })
+    }
+
+    pub fn hold(self: &Rc<Self>, bytes: usize) -> Option<Hold> {
+        let used = self.used.get() + bytes;
+        (used <= self.most).then(|| {
+            self.used.set(used);
+            Hold { memory: self.clone(), bytes }
+        })
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        self.memory.used.set(self.memory.used.get() - self.bytes);
+    }
+}
+
+/// How long a client may still keep us waiting for its body. Only time spent waiting for it counts: a body
+/// that is not read yet, since no upstream takes it, is not late.
+struct Pace {
+    left: Duration,
+    since: Option<Instant>,
+    timer: Pin<Box<Sleep>>,
+}
+
+impl Pace {
+    fn came(&mut self, bytes: usize) {
+        if let Some(since) = self.since.take() {
+            self.left = self.left.saturating_sub(since.elapsed());
+        }
+        let won = Duration::from_secs_f64(bytes as f64 / LEAST_RATE);
+        self.left = (self.left + won).min(LONGEST_WAIT);
+    }
+
+    fn poll_late(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        if self.since.is_none() {
+            let now = Instant::now();
+            self.since = Some(now);
+            self.timer.as_mut().reset(now + self.left);
+        }
+        self.timer.as_mut().poll(cx)
+    }
+}
+
+/// The body of a request, as its client sends it.
+pub struct Upload {
+    body: RefCell<Incoming>,
+    pace: RefCell<Pace>,
+    read: Cell<u64>,
+    ended: Cell<Option<Result<(), Broken>>>,
+    changed: Notify,
+    /// Some of it went to an upstream and is not kept: it can't be sent a second time.
+    spent: Cell<bool>,
+}
+
+impl Upload {
+    /// Its client may keep us waiting for so long before it sends any of it.
+    pub fn new(body: Incoming, patience: Duration) -> Rc<Self> {
+        let timer = Box::pin(sleep(patience));
+        Rc::new(Self {
+            ended: Cell::new(body.is_end_stream().then_some(Ok(()))),
+            body: RefCell::new(body),
+            pace: RefCell::new(Pace { left: patience, since: None, timer }),
+            read: Cell::new(0),
+            changed: Notify::new(),
+            spent: Cell::new(false),
+        })
+    }
+
+    fn end(&self, how: Result<(), Broken>) {
+        self.ended.set(Some(how));
+        self.changed.notify_waiters();
+    }
+
+    /// The next piece; `None` at its end.
+    fn poll(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
+        if let Some(how) = self.ended.get() {
+            return Poll::Ready(how.err().map(Err));
+        }
+        let mut body = self.body.borrow_mut();
+        let next = loop {
+            match Pin::new(&mut *body).poll_frame(cx) {
+                Poll::Ready(Some(Ok(frame))) => match frame.into_data() {
+                    Ok(data) => break Ok(data),
+                    // Trailers concern nobody here.
+                    Err(_) => continue,
+                },
+                Poll::Ready(Some(Err(_))) => break Err(Broken::Cut),
+                Poll::Ready(None) => {
+                    self.end(Ok(()));
+                    return Poll::Ready(None);
+                }
+                Poll::Pending => {
+                    ready!(self.pace.borrow_mut().poll_late(cx));
+                    break Err(Broken::Slow);
+                }
+            }
+        };
+        let next = next.and_then(|data| {
+            self.pace.borrow_mut().came(data.len());
+            self.read.set(self.read.get() + data.len() as u64);
+            if self.read.get() > LARGEST { Err(Broken::TooLarge) } else { Ok(data) }
+        });
+        match next {
+            Err(why) => self.end(Err(why)),
+            Ok(_) if body.is_end_stream() => self.end(Ok(())),
+            Ok(_) => {}
+        }
+        Poll::Ready(Some(next))
+    }
+
+    /// Reads it to its end, or until more than `most` was read.
+    pub async fn keep(&self, most: usize, declared: Option<u64>) -> Result<Bytes, Broken> {
+        let room = declared.map_or(0, |n| usize::try_from(n).unwrap_or(most).min(most));
+        let mut kept = BytesMut::with_capacity(room);
+        while let Some(piece) = poll_fn(|cx| self.poll(cx)).await {
+            kept.extend_from_slice(&piece?);
+            if kept.len() > most {
+                break;
+            }
+        }
+        Ok(kept.freeze())
+    }
+
+    pub fn is_whole(&self) -> bool {
+        self.ended.get() == Some(Ok(()))
+    }
+
+    pub fn is_spent(&self) -> bool {
+        self.spent.get()
+    }
+
+    /// Whether its client keeps us waiting.
+    pub fn waits(&self) -> bool {
+        self.pace.borrow().since.is_some()
+    }
+
+    /// Waits for its end, whatever that is; others read it meanwhile.
+    pub async fn ended(&self) -> Result<(), Broken> {
+        loop {
+            let changed = self.changed.notified();
+            if let Some(how) = self.ended.get() {
+                return how;
+            }
+            changed.await;
+        }
+    }
+
+    /// Reads and forgets what still comes, for a while.
+    pub async fn drain(self: Rc<Self>) {
+        let rest = async { while let Some(Ok(_)) = poll_fn(|cx| self.poll(cx)).await {} };
+        let _ = timeout(DRAIN, rest).await;
+    }
+}
+
+/// What an attempt has to hand over for its request to be whole; the least that it can be.
+#[derive(Clone, Default)]
+pub struct Due {
+    pub bytes: Rc<Cell<u64>>,
+    /// Whether that is all, or more of the body may come.
+    pub all: Rc<Cell<bool>>,
+}
+
+/// The body of one attempt at an upstream.
+pub struct Outgoing {
+    kept: Bytes,
+    rest: Option<Rc<Upload>>,
+    /// Where the whole body's size is known from the start, what is left of it.
+    left: Option<u64>,
+    due: Due,
+    /// Told once the last byte was given.
+    all_given: Box<dyn Fn()>,
+}
+
+impl Outgoing {
+    pub fn new(payload: &Payload, due: Due, all_given: Box<dyn Fn()>) -> Self {
+        due.bytes.set(due.bytes.get() + payload.kept.len() as u64);
+        due.all.set(payload.rest.is_none());
+        let left =
+            if payload.rest.is_some() { payload.length } else { Some(payload.kept.len() as u64) };
+        Self { kept: payload.kept.clone(), rest: payload.rest.clone(), left, due, all_given }
+    }
+
+    fn give(&mut self, data: Bytes) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        if let Some(left) = &mut self.left {
+            *left = left.saturating_sub(data.len() as u64);
+        }
+        Poll::Ready(Some(Ok(Frame::data(data))))
+    }
+
+    fn all(&self) {
+        if !self.due.all.replace(true) {
+            (self.all_given)();
+        }
+    }
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        if !self.kept.is_empty() {
+            let kept = std::mem::take(&mut self.kept);
+            return self.give(kept);
+        }
+        let Some(rest) = self.rest.clone() else { return Poll::Ready(None) };
+        let piece = ready!(rest.poll(cx));
+        rest.spent.set(true);
+        match piece {
+            None => {
+                self.all();
+                Poll::Ready(None)
+            }
+            Some(Err(why)) => Poll::Ready(Some(Err(why))),
+            Some(Ok(data)) => {
+                self.due.bytes.set(self.due.bytes.get() + data.len() as u64);
+                // With a known size nobody asks for the end that follows.
+                if rest.is_whole() {
+                    self.all();
+                }
+                self.give(data)
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.kept.is_empty() && self.rest.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.left.map_or(SizeHint::default(), SizeHint::with_exact)
+    }
+}
+
+/// The body of a request, the same for each of its attempts.
+#[derive(Default)]
+pub struct Payload {
+    /// All of it, or its first part.
+    pub kept: Bytes,
+    /// Where more follows.
+    pub rest: Option<Rc<Upload>>,
+    /// Its whole size, if the client said so.
+    pub length: Option<u64>,
+    pub _hold: Option<Hold>,
+}
+
+impl Payload {
+    /// Whether it can't be sent another time.
+    pub fn is_spent(&self) -> bool {
+        self.rest.as_ref().is_some_and(|r| r.is_spent())
+    }
+}
+
+/// An answer from an upstream: whole, or its first part and where the rest comes from.
+pub struct Served {
+    pub kept: Bytes,
+    pub rest: Option<Relay>,
+    pub hold: Option<Hold>,
+}
+
+/// The body of an answer to a client, and with it the request's place in the figures and on its connection.
 #[derive(Default)]
 pub struct AnswerBody {
     kept: Bytes,
+    rest: Option<Relay>,
     taken: Option<Taken>,
+    _hold: Option<Hold>,
+    _turn: Option<Turn>,
 }
 
+/// Dropped when an answer is done with.
+pub type Turn = Box<dyn std::any::Any>;
+
 impl AnswerBody {
     pub fn whole(kept: Bytes) -> Self {
-        Self { kept, taken: None }
+        Self { kept, ..Self::default() }
+    }
+
+    pub fn served(served: Served) -> Self {
+        Self { kept: served.kept, rest: served.rest, _hold: served.hold, ..Self::default() }
     }
 
-    /// The request counts as ended once this body is done with.
-    pub fn of(mut self, taken: Taken) -> Self {
+    /// The request counts as ended once this body is done with: as `end`, or, where the rest is still to come,
+    /// by what becomes of it.
+    pub fn of(mut self, taken: Taken, end: End) -> Self {
+        if self.rest.is_none() {
+            taken.ends(end);
+        }
         self.taken = Some(taken);
         self
     }
+
+    /// Keeps this until the body is done with.
+    pub fn holding(mut self, turn: Turn) -> Self {
+        self._turn = Some(turn);
+        self
+    }
+
+    fn ends(&self, end: End) {
+        if let Some(taken) = &self.taken {
+            taken.ends(end);
+        }
+    }
 }
 
 impl Body for AnswerBody {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = Broken;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        _: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        let kept = std::mem::take(&mut self.kept);
-        Poll::Ready((!kept.is_empty()).then(|| Ok(Frame::data(kept))))
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        if !self.kept.is_empty() {
+            let kept = std::mem::take(&mut self.kept);
+            return Poll::Ready(Some(Ok(Frame::data(kept))));
+        }
+        let Some(rest) = &mut self.rest else { return Poll::Ready(None) };
+        let piece = ready!(rest.poll(cx));
+        if rest.is_over() {
+            self.rest = None;
+            self.ends(End::Served);
+        }
+        if let Some(Err(_)) = piece {
+            self.rest = None;
+            self.ends(End::Failed);
+        }
+        Poll::Ready(piece.map(|p| p.map(Frame::data)))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.kept.is_empty()
+        self.kept.is_empty() && self.rest.is_none()
     }
 
     fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.kept.len() as u64)
+        let kept = self.kept.len() as u64;
+        let rest = self.rest.as_ref().map_or(Some(0), Relay::left);
+        rest.map_or(SizeHint::default(), |rest| SizeHint::with_exact(kept + rest))
     }
 }
--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -1,6 +1,6 @@
 //! The side that faces clients: an HTTP server that reads requests, asks the engine, and answers once.
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::convert::Infallible;
 use std::future::Future;
 use std::rc::Rc;
@@ -9,39 +9,35 @@
 use bytes::Bytes;
 use hollowpaddle::interface::{Effect, Span};
 use hollowpaddle::settings::{Facts, key_hash};
-use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Incoming};
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, COOKIE, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue,
     RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout};
 
-use crate::bodies::AnswerBody;
+use crate::bodies::{AnswerBody, Broken, KEPT, LARGEST, Memory, Payload, Upload};
 use crate::config::Config;
 use crate::engine::{Arrival, Handle, Reply};
 use crate::figures::{End, Figures};
 use crate::lifecycle::{LINGER, Lifecycle};
 use crate::succession::Mark;
+use crate::talk::{Talk, Watched};
 use crate::upstreams::Forward;
 
-/// The largest body that either side may send.
-pub const BODY_LIMIT: usize = 64 << 10;
 /// The longest head of a request; a longer one is answered 431. hyper's own limit, some 400 KiB, times a full
 /// table of clients is more than the memory that a balancer has.
 const HEAD_LIMIT: usize = 32 << 10;
-/// After the last deadline, time for the answers to be written.
-const FINISH: Duration = Duration::from_millis(100);
+/// After the last accept, the longest wait for what was taken. Each request has its deadline and each body has
+/// to come on; the platform ends what takes longer than it allows.
+const FINISH: Duration = Duration::from_secs(60);
 /// Wait after a failed accept, so that a full descriptor table does not become a busy loop.
 pub const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
-/// How long a connection may take over a request, from connecting or from its head on, and idle between two.
-/// Failure: peers that sent nothing, or never all of it, kept their connections until the table of clients was
-/// full, and proper clients waited in the backlog until their time was up.
-const REQUEST_WITHIN: Duration = Duration::from_secs(2);
 /// No client waits longer than this; a figure beyond it is a mistake.
 const LONGEST_DEADLINE_MS: u64 = 3_600_000;
 
@@ -49,10 +45,10 @@
 
 pub struct Front {
     engine: Handle,
+    memory: Rc<Memory>,
     figures: Rc<Figures>,
     facts: Facts,
     effects: Vec<Effect>,
-    longest: Duration,
     most: usize,
     open: Cell<usize>,
     lifecycle: Rc<Lifecycle>,
@@ -64,16 +60,16 @@
         engine: Handle,
         lifecycle: Rc<Lifecycle>,
         figures: Rc<Figures>,
+        memory: Rc<Memory>,
         most: usize,
     ) -> Self {
         let settings = config.facts.settings();
-        let longest = settings.classes.iter().map(|c| c.deadline.0.max(0)).max().unwrap_or(0);
         Self {
             engine,
             figures,
+            memory,
             facts: config.facts.clone(),
             effects: settings.classes.iter().map(|c| c.effect).collect(),
-            longest: Duration::from_micros(longest as u64),
             most,
             open: Cell::new(0),
             lifecycle,
@@ -106,8 +102,7 @@
                 sleep(Duration::from_millis(5)).await;
             }
         };
-        // Counted from the last accept, not from the signal: what came last has its whole deadline.
-        let _ = timeout(self.longest + FINISH, finished).await;
+        let _ = timeout(FINISH, finished).await;
     }
 
     /// Accepts what waits, and closes the listener with an empty queue: what a close finds there is reset.
@@ -148,40 +143,39 @@
     /// All requests of one connection.
     async fn converse(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        // The first request's time runs from connecting: head and body do not get it twice.
-        let connected = Cell::new(Some(Instant::now()));
-        let service = service_fn(|request| {
-            let whole_by = connected.take().unwrap_or_else(Instant::now) + REQUEST_WITHIN;
-            self.respond(request, whole_by)
-        });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(REQUEST_WITHIN)
-            .max_buf_size(HEAD_LIMIT)
-            .serve_connection(TokioIo::new(stream), service);
+        let talk = Rc::new(Talk::new());
+        let service = service_fn(|request| self.respond(request, &talk));
+        let stream = Watched { inner: TokioIo::new(stream), talk: talk.clone() };
+        let connection =
+            http1::Builder::new().max_buf_size(HEAD_LIMIT).serve_connection(stream, service);
         tokio::pin!(connection);
-        let closed = tokio::select! {
-            ended = &mut connection => Some(ended),
-            () = self.lifecycle.time_to_close() => None,
+        let ended = tokio::select! {
+            _ = &mut connection => true,
+            () = talk.lost() => true,
+            () = self.lifecycle.time_to_close() => false,
         };
-        if closed.is_none() {
+        if !ended {
             connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+            tokio::select! {
+                _ = connection => {}
+                () = talk.lost() => {}
+            }
         }
         self.open.set(self.open.get() - 1);
     }
 
     async fn respond(
         &self,
-        request: Request<hyper::body::Incoming>,
-        whole_by: Instant,
+        request: Request<Incoming>,
+        talk: &Rc<Talk>,
     ) -> Result<Answer, Infallible> {
+        let turn = talk.turn();
         let path = request.uri().path();
         let mut answer = if path == "/-/ready" {
             let ready = self.engine.ready() && self.lifecycle.serving();
             bare(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
         } else if path == "/api" || path.starts_with("/api/") {
-            self.api(request, whole_by).await
+            self.api(request, turn.patience()).await
         } else {
             bare(StatusCode::NOT_FOUND)
         };
@@ -189,36 +183,60 @@
         if !self.lifecycle.serving() || self.open.get() + self.most / 8 >= self.most {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        Ok(answer)
+        Ok(answer.map(|body| body.holding(Box::new(turn))))
     }
 
-    async fn api(&self, request: Request<hyper::body::Incoming>, whole_by: Instant) -> Answer {
-        let arrived = Instant::now();
+    async fn api(&self, request: Request<Incoming>, patience: Duration) -> Answer {
         let (head, body) = request.into_parts();
-        let read = timeout_at(whole_by, Limited::new(body, BODY_LIMIT).collect());
-        let Ok(body) = read.await else { return bare(StatusCode::REQUEST_TIMEOUT) };
-        let Ok(body) = body else { return malformed("body") };
-        let body = body.to_bytes();
-        let arrival = match self.arrival(&head, &body, arrived) {
+        let length = body.size_hint().exact();
+        if length.is_some_and(|n| n > LARGEST) {
+            return broken(Broken::TooLarge);
+        }
+        let upload = Upload::new(body, patience);
+        let room = length.map_or(KEPT, |n| usize::try_from(n).unwrap_or(KEPT).min(KEPT));
+        let hold = self.memory.hold(room);
+        let most = if hold.is_some() { KEPT } else { 0 };
+        let kept = match upload.keep(most, length).await {
+            Ok(kept) => kept,
+            Err(why) => return broken(why),
+        };
+        // The request's time runs from its last byte; while more is to come, that is still ahead.
+        let arrival = match self.arrival(&head, &kept, Instant::now()) {
             Ok(arrival) => arrival,
-            Err(what) => return malformed(what),
+            Err(what) => {
+                tokio::task::spawn_local(upload.drain());
+                return malformed(what);
+            }
+        };
+        let rest = (!upload.is_whole()).then(|| upload.clone());
+        let class = arrival.class;
+        let taken = OnceCell::new();
+        let take = || {
+            taken.get_or_init(|| self.figures.take(class));
         };
+        if rest.is_none() {
+            take();
+        }
+        let length = if rest.is_some() { length } else { Some(kept.len() as u64) };
         let forward = Forward {
             method: head.method,
-            uri: head.uri,
-            headers: onward(head.headers, body.len()),
-            body,
+            uri: origin_form(head.uri),
+            headers: onward(head.headers, length),
+            body: Payload { kept, rest, length, _hold: hold },
         };
-        let taken = self.figures.take(arrival.class);
-        let (end, answer) = match self.engine.ask(arrival, forward).await {
+        let reply = match self.engine.ask(arrival, forward, &take).await {
+            Ok(reply) => reply,
+            Err(why) => return broken(why),
+        };
+        let (end, answer) = match reply {
             Reply::Served(response) => {
-                let (mut head, body) = response.into_parts();
+                let (mut head, served) = response.into_parts();
                 end_to_end(&mut head.headers);
                 for internal in ["x-load", "x-not-run"] {
                     head.headers.remove(internal);
                 }
                 head.headers.remove(CONTENT_LENGTH);
-                let mut answer = Response::new(AnswerBody::whole(body));
+                let mut answer = Response::new(AnswerBody::served(served));
                 *answer.headers_mut() = head.headers;
                 (End::Served, answer)
             }
@@ -232,8 +250,9 @@
             Reply::Failed { late: true } => (End::Failed, bare(StatusCode::GATEWAY_TIMEOUT)),
             Reply::Failed { late: false } => (End::Failed, bare(StatusCode::BAD_GATEWAY)),
         };
-        taken.ends(end);
-        answer.map(|body| body.of(taken))
+        take();
+        let Some(taken) = taken.into_inner() else { return answer };
+        answer.map(|body| body.of(taken, end))
     }
 
     /// Reads what the module needs to know; the error names what is wrong.
@@ -283,6 +302,15 @@
     answer
 }
 
+/// What a body that has no end gets.
+fn broken(why: Broken) -> Answer {
+    bare(match why {
+        Broken::Slow => StatusCode::REQUEST_TIMEOUT,
+        Broken::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        Broken::Cut => StatusCode::BAD_REQUEST,
+    })
+}
+
 fn malformed(what: &str) -> Answer {
     let mut answer = Response::new(AnswerBody::whole(format!("malformed: {what}\n").into()));
     *answer.status_mut() = StatusCode::BAD_REQUEST;
@@ -303,13 +331,19 @@
     pairs.find(|(n, _)| *n == name).map(|(_, value)| value)
 }
 
+/// The target as an origin server is asked for it: clients may name the host in it too.
+fn origin_form(uri: Uri) -> Uri {
+    uri.path_and_query().map_or(Uri::default(), |asked| Uri::from(asked.clone()))
+}
+
 /// The headers that go on to an upstream.
-fn onward(mut headers: HeaderMap, body: usize) -> HeaderMap {
+fn onward(mut headers: HeaderMap, length: Option<u64>) -> HeaderMap {
     end_to_end(&mut headers);
     headers.remove(EXPECT);
     headers.remove(CONTENT_LENGTH);
-    if body > 0 {
-        headers.insert(CONTENT_LENGTH, HeaderValue::from(body));
+    // Of an unknown length, it goes on in chunks.
+    if let Some(length) = length.filter(|n| *n > 0) {
+        headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
     }
     // Without one the upstream could not read it as HTTP/1.1.
     headers.entry(HOST).or_insert(HeaderValue::from_static("api.internal"));
--- a/src/bin/hollowpaddle/config.rs
+++ b/src/bin/hollowpaddle/config.rs
@@ -13,6 +13,7 @@
 const RESERVED: usize = 24 + management::SHARE;
 /// Where the platform states no limit.
 const SOCKETS: usize = 1024;
+const MEMORY_MB: f64 = 192.0;
 
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
@@ -51,6 +52,7 @@
 #[derive(Deserialize, Default)]
 struct FileLimits {
     sockets: Option<usize>,
+    memory_mb: Option<f64>,
 }
 
 impl File {
@@ -77,6 +79,8 @@
     pub management: Option<SocketAddr>,
     pub seed: u64,
     pub sockets: usize,
+    /// Bytes that the process may use.
+    pub memory: usize,
     pub known: List,
     pub facts: Facts,
 }
@@ -102,6 +106,7 @@
             (Err(_), Some(said)) => Some(self::address("management", said)?),
             (Err(_), None) => None,
         };
+        let memory_mb = file.limits.memory_mb.filter(|mb| *mb > 0.0).unwrap_or(MEMORY_MB);
         let seed = file.seed.unwrap_or_default();
         Ok(Self {
             name: say("LB_NAME", file.name),
@@ -110,6 +115,7 @@
             management,
             seed: hollowpaddle::settings::key_hash(&seed),
             sockets,
+            memory: (memory_mb * f64::from(1 << 20)) as usize,
             known: file.known,
             facts: file.settings,
         })
--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -8,7 +8,6 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use bytes::Bytes;
 use hollowpaddle::interface as d;
 use hollowpaddle::interface::{Action, Event, ListKind, Outcome, RequestId, ServerId, Span, Time};
 use hollowpaddle::policy::Balancer;
@@ -18,6 +17,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 
+use crate::bodies::{Broken, Served};
 use crate::config::Config;
 use crate::discovery::{self, Entry, List, Phase};
 use crate::upstreams::{AbortOnDrop, Ended, Forward, Pool, Target};
@@ -37,10 +37,12 @@
     Arrived {
         id: RequestId,
         arrival: Arrival,
-        forward: Forward,
+        forward: Box<Forward>,
         reply: oneshot::Sender<Reply>,
     },
     Left(RequestId),
+    /// The body of a request that arrived before it was whole is whole now.
+    Whole(RequestId),
     Ended {
         id: RequestId,
         attempt: usize,
@@ -71,7 +73,7 @@
 
 /// The one final answer.
 pub enum Reply {
-    Served(Response<Bytes>),
+    Served(Box<Response<Served>>),
     Refused { retry_after: Span },
     Failed { late: bool },
 }
@@ -102,15 +104,40 @@
         answer.await.unwrap_or_default()
     }
 
-    /// Hands in a request and waits for its answer. Dropped before that, it tells that the client left.
-    pub async fn ask(&self, arrival: Arrival, forward: Forward) -> Reply {
+    /// Hands in a request and waits for its answer. Dropped before that, it tells that the client left. Of a
+    /// body that is still coming, `whole` is told its end; one that breaks has no answer.
+    pub async fn ask(
+        &self,
+        arrival: Arrival,
+        forward: Forward,
+        whole: impl FnOnce(),
+    ) -> Result<Reply, Broken> {
         let id = RequestId(self.next.replace(self.next.get() + 1));
-        let (reply, answer) = oneshot::channel();
-        let _ = self.notes.send(Note::Arrived { id, arrival, forward, reply });
+        let (reply, mut answer) = oneshot::channel();
+        let rest = forward.body.rest.clone();
+        let _ = self.notes.send(Note::Arrived { id, arrival, forward: Box::new(forward), reply });
         let mut leaving = Leaving { id, notes: Some(&self.notes) };
-        let answer = answer.await;
+        let mut early = None;
+        if let Some(rest) = rest {
+            tokio::select! {
+                biased;
+                how = rest.ended() => {
+                    how?;
+                    whole();
+                    let _ = self.notes.send(Note::Whole(id));
+                }
+                answer = &mut answer => {
+                    early = Some(answer);
+                    tokio::task::spawn_local(rest.drain());
+                }
+            }
+        }
+        let answer = match early {
+            Some(answer) => answer,
+            None => answer.await,
+        };
         leaving.notes = None;
-        answer.unwrap_or(Reply::Failed { late: false })
+        Ok(answer.unwrap_or(Reply::Failed { late: false }))
     }
 }
 
@@ -136,6 +163,8 @@
     /// Read by attempts right before they go on the wire.
     live: Rc<Cell<bool>>,
     until: Instant,
+    /// While its body is still coming: the time it has from the last byte on.
+    coming: Option<Duration>,
     attempts: Vec<Try>,
     last: Option<Outcome>,
 }
@@ -293,6 +322,7 @@
                 }
                 self.forget(id);
             }
+            Note::Whole(id) => self.whole(id),
             Note::Ended { id, attempt, ended } => {
                 self.ended(id, attempt, ended);
                 self.catch_up();
@@ -328,31 +358,48 @@
         &mut self,
         id: RequestId,
         arrival: Arrival,
-        forward: Forward,
+        forward: Box<Forward>,
         reply: oneshot::Sender<Reply>,
     ) {
         let until = arrival.until - HEADROOM;
+        let whole = forward.body.rest.as_ref().is_none_or(|r| r.is_whole());
+        let coming = (!whole).then(|| arrival.until.saturating_duration_since(Instant::now()));
         let held = Held {
-            forward: Rc::new(forward),
+            forward: Rc::from(forward),
             reply: Some(reply),
             live: Rc::new(Cell::new(true)),
             until,
+            coming,
             attempts: Vec::new(),
             last: None,
         };
         self.requests.insert(id, held);
-        self.timers.push(Reverse((arrival.until - BACKSTOP, Due::Deadline(id))));
+        if coming.is_none() {
+            self.timers.push(Reverse((arrival.until - BACKSTOP, Due::Deadline(id))));
+        }
         let request = d::Request {
             class: arrival.class,
             tenant: arrival.tenant,
             key: arrival.key,
             cost_guess: arrival.cost_guess,
             resent: arrival.resent,
+            coming: coming.is_some(),
             ..d::Request::new(id, arrival.class, self.clock.at(until))
         };
         self.tell(Event::Request(request));
     }
 
+    /// The last byte of its body has come: its time runs from here.
+    fn whole(&mut self, id: RequestId) {
+        let Some(held) = self.requests.get_mut(&id) else { return };
+        let Some(time) = held.coming.take() else { return };
+        let now = Instant::now();
+        held.until = now + time.saturating_sub(HEADROOM);
+        held.attempts.iter_mut().filter(|a| a.task.is_some()).for_each(|a| a.sent = now);
+        self.timers.push(Reverse((now + time - BACKSTOP.min(time), Due::Deadline(id))));
+        self.tell(Event::Whole(id));
+    }
+
     /// Guards against a request that the module still owes its answer when the client is about to give up.
     fn overdue(&mut self, id: RequestId) {
         if self.answer(id, Reply::Failed { late: true }) {
@@ -381,9 +428,12 @@
         if let Some(response) = ended.response {
             self.answer(id, Reply::Served(response));
         }
-        let over = self.requests.get(&id).is_none_or(|h| h.reply.is_none());
+        let held = self.requests.get(&id);
+        let over = held.is_none_or(|h| h.reply.is_none());
+        let spent = held.is_some_and(|h| h.forward.body.is_spent());
         let answer = d::Answer {
             report: ended.report,
+            spent,
             ..d::Answer::new(
                 id,
                 attempt,
@@ -483,6 +533,7 @@
         let target = self.upstreams.target(server);
         let mut tried = Try { server, sent: now, task: None };
         let over = held.reply.is_none() || attempt >= self.max_attempts || now >= until;
+        let over = over || held.forward.body.is_spent();
         let (Some(target), false) = (target, over || twice) else {
             held.attempts.push(tried);
             self.later.push_back((id, attempt, Ended::bare(Outcome::Moot)));
@@ -491,7 +542,8 @@
         let (pool, notes) = (self.pool.clone(), self.own_notes.clone());
         let (forward, live) = (held.forward.clone(), held.live.clone());
         tried.task = Some(AbortOnDrop(tokio::task::spawn_local(async move {
-            let ended = pool.attempt(server, &target, &forward, until, || live.get()).await;
+            let live = || live.get();
+            let ended = pool.attempt(server, &target, &forward, until, live).await;
             let _ = notes.send(Note::Ended { id, attempt, ended });
         })));
         held.attempts.push(tried);
--- a/src/bin/hollowpaddle/main.rs
+++ b/src/bin/hollowpaddle/main.rs
@@ -13,6 +13,7 @@
 mod lifecycle;
 mod management;
 mod succession;
+mod talk;
 mod upstreams;
 
 use std::process::ExitCode;
@@ -21,6 +22,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
 
+use bodies::Memory;
 use clients::Front;
 use config::Config;
 use engine::{Engine, Handle};
@@ -30,6 +32,10 @@
 use succession::{Mark, listen};
 use upstreams::Pool;
 
+/// Bodies that are kept whole may use this part of the memory; buffers on the way and a second process beside
+/// this one need the rest.
+const KEPT_OF_MEMORY: usize = 4;
+
 fn main() -> ExitCode {
     tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).init();
     match start() {
@@ -56,7 +62,8 @@
     let calls = config.management.map(open).transpose()?;
     let budget = config.budget();
     let figures = Figures::new(&config);
-    let pool = Pool::new(budget.upstreams, &config, figures.tries.clone());
+    let memory = Memory::new(config.memory / KEPT_OF_MEMORY);
+    let pool = Pool::new(budget.upstreams, &config, figures.tries.clone(), memory.clone());
     let (engine, handle) = Engine::new(&config, pool).map_err(|e| format!("settings: {e}"))?;
     let engine = tokio::task::spawn_local(engine.run());
     tokio::task::spawn_local(reconfigure(hangup, handle.clone()));
@@ -70,7 +77,7 @@
     // The bound address, not the wanted one: with port 0 it is the only word of where clients connect.
     let bound = listener.local_addr().map_err(|e| format!("listen on {}: {e}", config.listen))?;
     tracing::info!(name = config.name, "listening on {bound}");
-    let front = Rc::new(Front::new(&config, handle, lifecycle, figures, budget.clients));
+    let front = Rc::new(Front::new(&config, handle, lifecycle, figures, memory, budget.clients));
     let serve = front.serve(listener, Mark::leave(bound), async move {
         term.recv().await;
     });
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -400,6 +400,8 @@
     pub resent: bool,
     /// It changes something.
     pub write: bool,
+    /// Its body is still coming: until [`Event::Whole`] no upstream starts on it.
+    pub coming: bool,
 }
 
 impl Request {
@@ -414,6 +416,7 @@
             cost_guess: None,
             resent: false,
             write: false,
+            coming: false,
         }
     }
 }
@@ -461,6 +464,8 @@
     pub latency: Span,
     /// The request is over.
     pub last: bool,
+    /// Its body went out with this attempt and is not kept: it can't be sent again.
+    pub spent: bool,
     /// What the upstream reported of itself.
     pub report: Report,
 }
@@ -475,7 +480,8 @@
         latency: Span,
         last: bool,
     ) -> Self {
-        Self { request, attempt, server, outcome, latency, last, report: Report::default() }
+        let (spent, report) = (false, Report::default());
+        Self { request, attempt, server, outcome, latency, last, spent, report }
     }
 }
 
@@ -508,6 +514,8 @@
     },
     /// A client's request has arrived: one final answer is owed.
     Request(Request),
+    /// The body of a request that was still coming is whole.
+    Whole(RequestId),
     /// An attempt has ended.
     Answered(Answer),
     /// The answer has begun to stream: the attempt is the client's now.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -477,16 +477,8 @@
         let worth_until = if class.late_worth > 0.0 { r.drop_dead } else { aim_at };
         // Two sweeps early: a refusal must come while it is still harmless.
         let hold_until = aim_at.plus(Span(-2 * self.settings.sweep_every().0));
-        let entry = Entry {
-            class: r.class,
-            drop_dead: r.drop_dead,
-            worth_until,
-            hold_until,
-            held: false,
-            ended: false,
-            attempts: Vec::new(),
-            turn: r.key.filter(|_| class.in_order),
-        };
+        let turn = r.key.filter(|_| class.in_order);
+        let entry = Entry::new(&r, worth_until, hold_until, turn);
         let ahead = entry.turn.and_then(|k| self.lines.get(&k)).map_or(0, |l| l.waiting.len());
         self.requests.insert(r.id, entry);
         let in_share = self.in_share(now, r.tenant);
@@ -673,10 +665,11 @@
         e.held = false;
         let first = e.attempts.is_empty();
         self.out.push((id, e.attempts.len()));
-        e.attempts.push(Attempt::new(server, now));
-        let (class, timeout) = (e.class, e.worth_until.since(now));
+        // While its body is coming the upstream has nothing to do, and no slot is taken.
+        e.attempts.push(Attempt { freed: e.coming, ..Attempt::new(server, now) });
+        let (class, timeout, slots) = (e.class, e.worth_until.since(now), i32::from(!e.coming));
         self.count_queued(class, -1);
-        self.count_in_flight(server, 1);
+        self.count_in_flight(server, slots);
         if first {
             self.extra = (self.extra + EXTRA).min(self.rooms[0].slots.max(1.0));
         }
@@ -708,11 +701,11 @@
         if s.status != Status::Live || !self.open_to(Some(e.class), s) {
             return false;
         }
-        if e.ended || now >= e.drop_dead || e.attempts.len() >= limits.max_attempts {
+        if e.ended || e.spent || now >= e.drop_dead || e.attempts.len() >= limits.max_attempts {
             return false;
         }
         let there = |a: &Attempt| a.fate == Fate::Out && a.server == server;
-        if e.out() && (!limits.second_copies || e.attempts.iter().any(there)) {
+        if e.out() && (!limits.second_copies || e.coming || e.attempts.iter().any(there)) {
             return false;
         }
         let class = &self.settings.classes[e.class];
@@ -751,6 +744,7 @@
         };
         attempt.fate = if a.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
         let (attempt, server) = (*attempt, attempt.server);
+        e.spent |= a.spent;
         let (class, turn) = (e.class, e.turn);
         let may_run = matches!(a.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
         if let Some(line) = turn.filter(|_| may_run).and_then(|k| self.lines.get_mut(&k)) {
@@ -766,6 +760,16 @@
         self.dispatch(now, out);
     }
 
+    /// A body is whole: its upstream starts on it, and it takes a slot from here on.
+    fn whole(&mut self, now: Time, id: RequestId) {
+        let Some(e) = self.requests.get_mut(&id) else { return };
+        (e.coming, e.spent) = (false, e.out());
+        let Some(a) = e.attempts.iter_mut().find(|a| a.fate == Fate::Out) else { return };
+        (a.sent, a.freed) = (now, false);
+        let server = a.server;
+        self.count_in_flight(server, 1);
+    }
+
     fn learn(&mut self, now: Time, class: usize, attempt: Attempt, a: &Answer) {
         let server = attempt.server;
         // Failure: one absurd latency put the mean of its class out of reach for good.
@@ -867,7 +871,8 @@
             };
             self.out.push((id, n));
             let (late_at, again_at) = self.overdue_at(e, &a);
-            let (late, asked) = (a.overdue || now >= late_at, a.asked || now >= again_at);
+            let past = |at| !e.coming && now >= at;
+            let (late, asked) = (a.overdue || past(late_at), a.asked || past(again_at));
             let room = &self.rooms[self.room_of[e.class]];
             let idle = room.queued == 0 && (room.in_flight as f64) < room.slots;
             let likely = self.fleet.hopeless[e.class] > LIKELY;
@@ -1108,6 +1113,7 @@
             Event::Members { kind, list } => self.members(now, kind, list, out),
             Event::Request(r) => self.request(now, r, out),
             Event::Answered(a) => self.outcome(now, a, out),
+            Event::Whole(id) => self.whole(now, id),
             Event::Started(id) | Event::Left(id) => self.end(id),
             Event::Timer(SWEEP) => self.timer(now, out),
             Event::Timer(_) | Event::Probed { .. } => {}
--- a/src/state.rs
+++ b/src/state.rs
@@ -42,6 +42,9 @@
     pub(crate) hold_until: Time,
     pub(crate) held: bool,
     pub(crate) ended: bool,
+    /// Its body is still coming; and: is of no further use.
+    pub(crate) coming: bool,
+    pub(crate) spent: bool,
     pub(crate) attempts: Vec<Attempt>,
     /// The key whose turn it waits for.
     pub(crate) turn: Option<u64>,
@@ -100,6 +103,20 @@
 }
 
 impl Entry {
+    pub(crate) fn new(r: &Request, worth_until: Time, hold_until: Time, turn: Option<u64>) -> Self {
+        Self {
+            class: r.class,
+            drop_dead: r.drop_dead,
+            worth_until,
+            hold_until,
+            held: false,
+            ended: false,
+            coming: r.coming,
+            spent: false,
+            attempts: Vec::new(),
+            turn,
+        }
+    }
     pub(crate) fn out(&self) -> bool {
         self.attempts.iter().any(|a| a.fate == Fate::Out)
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -193,6 +193,7 @@
             cost_guess: None,
             resent: false,
             write: false,
+            coming: false,
         }));
     }
 
@@ -217,6 +218,7 @@
             outcome,
             latency: self.now.since(t.sent),
             last: asked.over,
+            spent: false,
             report,
         };
         self.tell(Event::Answered(answer));
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -687,3 +687,55 @@
     let (own, other) = (sends(0), sends(16));
     assert!(own > 20 && other * 4 < own, "{own} to one's own, {other} to another's");
 }
+
+#[test]
+fn a_body_that_is_still_coming_takes_no_slot_and_no_time() {
+    // Failure: judged from its first byte, a slow client's body made its upstream look hung, and kept a slot.
+    let mut w = World::with_servers(settings(), 1);
+    for id in 0..40 {
+        w.request(id, 0);
+        w.pass(Span(10 * MS));
+        w.outcome(id, 0, Outcome::Ok);
+    }
+    let (_, k, n) = w.balancer.upstream(ServerId(0), Span(200 * MS)).unwrap();
+    let coming =
+        Request { coming: true, ..Request::new(RequestId(900), 0, w.now.plus(Span(100_000 * MS))) };
+    let mut out = Vec::new();
+    w.balancer.handle(w.now, Event::Request(coming), &mut out);
+    assert!(matches!(out[..], [Action::Send { request: RequestId(900), .. }]), "{out:?}");
+    let at = |w: &World| w.balancer.upstream(ServerId(0), Span(MS)).unwrap().0;
+    w.pass(Span(3000 * MS));
+    assert_eq!(at(&w), 0, "the upstream has nothing to do yet");
+    let (_, k_after, n_after) = w.balancer.upstream(ServerId(0), Span(200 * MS)).unwrap();
+    assert_eq!((k, n), (k_after, n_after), "nothing was learnt of it");
+    assert_eq!(w.balancer.pool(w.now), (1, 0), "nor is it avoided");
+    w.balancer.handle(w.now, Event::Whole(RequestId(900)), &mut out);
+    assert_eq!(at(&w), 1, "now it has");
+    // Whatever becomes of it, it is not sent again: its body is gone.
+    out.clear();
+    let ended =
+        Answer::new(RequestId(900), 0, ServerId(0), Outcome::ConnectFailed, Span(MS), false);
+    w.balancer.handle(w.now, Event::Answered(ended), &mut out);
+    assert!(matches!(out[..], [Action::Refuse { .. }]), "{out:?}");
+    assert_eq!(at(&w), 0);
+}
+
+#[test]
+fn a_body_that_broke_off_in_an_attempt_is_not_sent_again() {
+    let mut w = World::with_servers(settings(), 2);
+    let mut out = Vec::new();
+    for (id, spent) in [(1, false), (2, true)] {
+        let request = RequestId(id);
+        let coming =
+            Request { coming: true, ..Request::new(request, 0, w.now.plus(Span(1000 * MS))) };
+        out.clear();
+        w.balancer.handle(w.now, Event::Request(coming), &mut out);
+        let [Action::Send { server, .. }] = out[..] else { panic!("{out:?}") };
+        out.clear();
+        let ended = Answer::new(request, 0, server, Outcome::ConnectFailed, Span(MS), false);
+        w.balancer.handle(w.now, Event::Answered(Answer { spent, ..ended }), &mut out);
+        let again = matches!(out[..], [Action::Send { .. }]);
+        assert_eq!(again, !spent, "{out:?}");
+        w.balancer.handle(w.now, Event::Left(request), &mut out);
+    }
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -349,6 +349,7 @@
         outcome: Outcome::Ok,
         latency,
         last: true,
+        spent: false,
         report: Report { inflight: Some(f64::NAN), qps: Some(-1.0), ..Report::default() },
     };
     for id in 0..40 {
