Keep a connection whose client still reads the end of its answer

A request is done with here when its last frame is handed over; a slow client takes longer than 2.2 s for what the buffers still hold. Ruled out: an error or stall from the upstream (none logged), a second copy's answer dropped (those had passed on no byte). At fault: lost() in talk.rs, which looked at Idle first.

--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -149,16 +149,21 @@
         let connection =
             http1::Builder::new().max_buf_size(HEAD_LIMIT).serve_connection(stream, service);
         tokio::pin!(connection);
+        let lost = talk.lost(|| 2 * self.open.get() > self.most);
+        tokio::pin!(lost);
+        // First what has come: a request that crosses with the end of its time is taken.
         let ended = tokio::select! {
+            biased;
             _ = &mut connection => true,
-            () = talk.lost() => true,
+            () = &mut lost => true,
             () = self.lifecycle.time_to_close() => false,
         };
         if !ended {
             connection.as_mut().graceful_shutdown();
             tokio::select! {
+                biased;
                 _ = connection => {}
-                () = talk.lost() => {}
+                () = lost => {}
             }
         }
         self.open.set(self.open.get() - 1);
@@ -304,6 +309,7 @@
 
 /// What a body that has no end gets.
 fn broken(why: Broken) -> Answer {
+    tracing::info!(%why, "the body of a request");
     bare(match why {
         Broken::Slow => StatusCode::REQUEST_TIMEOUT,
         Broken::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
--- a/src/bin/hollowpaddle/succession.rs
+++ b/src/bin/hollowpaddle/succession.rs
@@ -7,6 +7,9 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::TcpListener;
 
+/// The kernel's buffers on a connection, each way. Left to itself it keeps megabytes for one slow reader, which is
+/// memory too; and no progress could be seen until most of them had gone.
+pub const SOCKET_BUFFER: u32 = 128 << 10;
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1024;
 
@@ -16,6 +19,9 @@
     socket.set_reuse_address(true)?;
     socket.set_reuse_port(true)?;
     socket.set_nonblocking(true)?;
+    // Inherited by what is accepted.
+    socket.set_send_buffer_size(SOCKET_BUFFER as usize)?;
+    socket.set_recv_buffer_size(SOCKET_BUFFER as usize)?;
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
     TcpListener::from_std(socket.into())
--- a/src/bin/hollowpaddle/talk.rs
+++ b/src/bin/hollowpaddle/talk.rs
@@ -11,10 +11,12 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep_until};
 
-/// How long a connection may idle between two requests.
+/// How long a connection may idle between two requests while there is room for others; and while the table of
+/// clients fills up.
 /// Failure: peers that sent nothing, or never all of it, kept their connections until the table of clients was
 /// full, and proper clients waited in the backlog until their time was up.
-const IDLE: Duration = Duration::from_millis(2200);
+const IDLE: Duration = Duration::from_secs(10);
+const IDLE_IN_A_CROWD: Duration = Duration::from_millis(2200);
 /// How long a head may take, from connecting or from its first byte on. Slow clients are owed 2 s; peers that
 /// never send a whole request are owed an end within 3 s.
 const HEAD_WITHIN: Duration = Duration::from_millis(2400);
@@ -27,7 +29,7 @@
 /// How often a connection that has a request is looked at.
 const LOOK: Duration = Duration::from_secs(1);
 
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 enum Doing {
     /// Nothing, since then.
     Idle(Instant),
@@ -60,22 +62,43 @@
         Turn { talk: self.clone(), began }
     }
 
-    /// Waits until its peer has had all the time it gets.
-    pub async fn lost(&self) {
+    /// Waits until its peer has had all the time it gets. `crowded` tells whether others want its place.
+    pub async fn lost(&self, crowded: impl Fn() -> bool) {
         loop {
             let now = Instant::now();
-            let at = match (self.doing.get(), self.unread.get()) {
-                (Doing::Idle(since), _) => since + IDLE,
-                (Doing::Asking(since), _) => since + HEAD_WITHIN,
-                (Doing::Served, Some(since)) => since + UNREAD,
-                (Doing::Served, None) => now + LOOK,
-            };
+            let at = self.limit(crowded()).unwrap_or(now + LOOK);
             if at <= now {
+                if !matches!(self.doing.get(), Doing::Idle(_)) || self.unread.get().is_some() {
+                    tracing::info!(doing = ?self.doing.get(), "a client had all its time");
+                }
                 return;
             }
             sleep_until(at.min(now + LOOK)).await;
         }
     }
+
+    /// When its peer has had all its time, as things stand. What is still to be written comes first: a request
+    /// is done with here before a slow client has read the last of its answer.
+    /// Failure: the ends of long answers, handed over but not yet taken, were cut off as idle.
+    fn limit(&self, crowded: bool) -> Option<Instant> {
+        match (self.unread.get(), self.doing.get()) {
+            (Some(since), _) => Some(since + UNREAD),
+            (None, Doing::Idle(since)) => {
+                Some(since + if crowded { IDLE_IN_A_CROWD } else { IDLE })
+            }
+            (None, Doing::Asking(since)) => Some(since + HEAD_WITHIN),
+            (None, Doing::Served) => None,
+        }
+    }
+
+    /// Something was written, or could not be.
+    fn wrote(&self, all_waits: bool) {
+        let now = Instant::now();
+        self.unread.set(all_waits.then(|| self.unread.get().unwrap_or(now)));
+        if let (false, Doing::Idle(_)) = (all_waits, self.doing.get()) {
+            self.doing.set(Doing::Idle(now));
+        }
+    }
 }
 
 /// A request's time on a connection.
@@ -104,14 +127,6 @@
     pub talk: Rc<Talk>,
 }
 
-impl Watched {
-    fn wrote<T>(&self, written: Poll<T>) -> Poll<T> {
-        let since = self.talk.unread.get().unwrap_or_else(Instant::now);
-        self.talk.unread.set(written.is_pending().then_some(since));
-        written
-    }
-}
-
 impl Read for Watched {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -133,7 +148,8 @@
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
         let written = Pin::new(&mut self.inner).poll_write(cx, buf);
-        self.wrote(written)
+        self.talk.wrote(written.is_pending());
+        written
     }
 
     fn poll_write_vectored(
@@ -142,7 +158,8 @@
         bufs: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
         let written = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
-        self.wrote(written)
+        self.talk.wrote(written.is_pending());
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -157,3 +174,26 @@
         Pin::new(&mut self.inner).poll_shutdown(cx)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_client_that_still_reads_its_answer_is_not_idle() {
+        let talk = Rc::new(Talk::new());
+        drop(talk.turn());
+        let idle = talk.limit(true).expect("it idles");
+        assert!(idle <= Instant::now() + IDLE_IN_A_CROWD);
+        assert!(talk.limit(false) > Some(idle), "while there is room it may stay");
+        talk.wrote(true);
+        let reading = talk.limit(true).expect("there is a limit");
+        assert!(reading > Instant::now() + UNREAD - LOOK, "the end of its answer is not taken yet");
+        std::thread::sleep(Duration::from_millis(20));
+        talk.wrote(true);
+        assert_eq!(talk.limit(true), Some(reading), "waiting again is no progress");
+        talk.wrote(false);
+        let idle_again = talk.limit(true).expect("it idles");
+        assert!(idle_again >= idle + Duration::from_millis(20), "it idles from here");
+    }
+}
--- a/src/bin/hollowpaddle/upstreams.rs
+++ b/src/bin/hollowpaddle/upstreams.rs
@@ -22,12 +22,13 @@
 use hyper_util::rt::TokioIo;
 use rustc_hash::FxHashMap;
 use socket2::SockRef;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, Sleep, sleep, sleep_until, timeout, timeout_at};
 
 use crate::bodies::{BUFFER, Broken, Due, KEPT, Memory, Outgoing, Payload, Served};
 use crate::config::Config;
+use crate::succession::SOCKET_BUFFER;
 
 /// Idle connections are dropped at this share of the upstream's own limit: a request that crosses with its
 /// close would end as a reset, which no unsafe request survives.
@@ -291,8 +292,11 @@
             return None;
         }
         let open = Open::new(&self.open);
-        let connect = timeout(self.connect_timeout, TcpStream::connect(address));
-        let stream = connect.await.ok()?.ok()?;
+        let socket =
+            if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }.ok()?;
+        socket.set_send_buffer_size(SOCKET_BUFFER).ok()?;
+        socket.set_recv_buffer_size(SOCKET_BUFFER).ok()?;
+        let stream = timeout(self.connect_timeout, socket.connect(address)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
         let written = Written { tries: self.tries.clone(), ..Written::default() };
         let stream = Rc::new(RefCell::new(TokioIo::new(stream)));
@@ -524,7 +528,10 @@
                     }
                     return Poll::Ready(Some(Ok(data)));
                 }
-                Poll::Ready(Some(Err(_))) => return Poll::Ready(Some(Err(Broken::Cut))),
+                Poll::Ready(Some(Err(cause))) => {
+                    tracing::info!(%cause, "an answer broke off on its way");
+                    return Poll::Ready(Some(Err(Broken::Cut)));
+                }
                 Poll::Ready(None) => {
                     self.end();
                     return Poll::Ready(None);
@@ -536,6 +543,7 @@
                         self.timer.as_mut().reset(now + STALL);
                     }
                     ready!(self.timer.as_mut().poll(cx));
+                    tracing::info!("an answer stalled on its way");
                     return Poll::Ready(Some(Err(Broken::Slow)));
                 }
             }
