Read on after an early answer, so that a slow client sees it

Each was a connection ended as one that takes too long over a head; the bytes read there were those of a body whose request had been refused before its end (a traced limit of 8 s brought no single head over 1.9 s). Ruled out: heads slower than the 2.4 s allowed, and idle ends that cross. At fault: the turn of a request ended with its answer, not with its body (respond() in clients.rs).

--- a/src/bin/hollowpaddle/bodies.rs
+++ b/src/bin/hollowpaddle/bodies.rs
@@ -26,9 +26,8 @@
 const LEAST_RATE: f64 = 48_000.0;
 /// Most of the time won by sending faster that may be used up in one wait.
 const LONGEST_WAIT: Duration = Duration::from_millis(2500);
-/// How long the rest of a body is still read after its request was answered: closed with bytes unread, a
-/// connection is reset, and its client may never see the answer.
-const DRAIN: Duration = Duration::from_secs(3);
+/// How long the rest of a body is still read after its request was answered, as long as it comes on.
+const DRAIN: Duration = Duration::from_secs(20);
 
 /// Why a body ended before its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -185,6 +184,10 @@
         self.ended.get() == Some(Ok(()))
     }
 
+    pub fn is_coming(&self) -> bool {
+        self.ended.get().is_none()
+    }
+
     pub fn is_spent(&self) -> bool {
         self.spent.get()
     }
@@ -206,7 +209,7 @@
     }
 
     /// Reads and forgets what still comes, for a while.
-    pub async fn drain(self: Rc<Self>) {
+    pub async fn drain(&self) {
         let rest = async { while let Some(Ok(_)) = poll_fn(|cx| self.poll(cx)).await {} };
         let _ = timeout(DRAIN, rest).await;
     }
@@ -328,11 +331,11 @@
     rest: Option<Relay>,
     taken: Option<Taken>,
     _hold: Option<Hold>,
-    _turn: Option<Turn>,
+    _done: Option<Done>,
 }
 
 /// Dropped when an answer is done with.
-pub type Turn = Box<dyn std::any::Any>;
+pub type Done = Rc<dyn std::any::Any>;
 
 impl AnswerBody {
     pub fn whole(kept: Bytes) -> Self {
@@ -354,8 +357,8 @@
     }
 
     /// Keeps this until the body is done with.
-    pub fn holding(mut self, turn: Turn) -> Self {
-        self._turn = Some(turn);
+    pub fn holding(mut self, done: Done) -> Self {
+        self._done = Some(done);
         self
     }
 
--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -27,7 +27,7 @@
 use crate::figures::{End, Figures};
 use crate::lifecycle::{LINGER, Lifecycle};
 use crate::succession::Mark;
-use crate::talk::{Talk, Watched};
+use crate::talk::{Talk, Turn, Watched};
 use crate::upstreams::Forward;
 
 /// The longest head of a request; a longer one is answered 431. hyper's own limit, some 400 KiB, times a full
@@ -174,13 +174,13 @@
         request: Request<Incoming>,
         talk: &Rc<Talk>,
     ) -> Result<Answer, Infallible> {
-        let turn = talk.turn();
+        let turn = Rc::new(talk.turn());
         let path = request.uri().path();
         let mut answer = if path == "/-/ready" {
             let ready = self.engine.ready() && self.lifecycle.serving();
             bare(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
         } else if path == "/api" || path.starts_with("/api/") {
-            self.api(request, turn.patience()).await
+            self.api(request, &turn).await
         } else {
             bare(StatusCode::NOT_FOUND)
         };
@@ -188,16 +188,16 @@
         if !self.lifecycle.serving() || self.open.get() + self.most / 8 >= self.most {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        Ok(answer.map(|body| body.holding(Box::new(turn))))
+        Ok(answer.map(|body| body.holding(turn)))
     }
 
-    async fn api(&self, request: Request<Incoming>, patience: Duration) -> Answer {
+    async fn api(&self, request: Request<Incoming>, turn: &Rc<Turn>) -> Answer {
         let (head, body) = request.into_parts();
         let length = body.size_hint().exact();
         if length.is_some_and(|n| n > LARGEST) {
             return broken(Broken::TooLarge);
         }
-        let upload = Upload::new(body, patience);
+        let upload = Upload::new(body, turn.patience());
         let room = length.map_or(KEPT, |n| usize::try_from(n).unwrap_or(KEPT).min(KEPT));
         let hold = self.memory.hold(room);
         let most = if hold.is_some() { KEPT } else { 0 };
@@ -209,7 +209,7 @@
         let arrival = match self.arrival(&head, &kept, Instant::now()) {
             Ok(arrival) => arrival,
             Err(what) => {
-                tokio::task::spawn_local(upload.drain());
+                drain(upload, turn);
                 return malformed(what);
             }
         };
@@ -233,6 +233,7 @@
             Ok(reply) => reply,
             Err(why) => return broken(why),
         };
+        drain(upload, turn);
         let (end, answer) = match reply {
             Reply::Served(response) => {
                 let (mut head, served) = response.into_parts();
@@ -301,6 +302,19 @@
     }
 }
 
+/// Reads what is still to come of a body whose request is answered: its client may look for the answer only
+/// then, and would be reset before.
+/// Failure: refused while they still sent, slow clients were cut off, and never saw that they were.
+fn drain(upload: Rc<Upload>, turn: &Rc<Turn>) {
+    if upload.is_coming() {
+        let turn = turn.clone();
+        tokio::task::spawn_local(async move {
+            upload.drain().await;
+            drop(turn);
+        });
+    }
+}
+
 fn bare(status: StatusCode) -> Answer {
     let mut answer = Response::new(AnswerBody::default());
     *answer.status_mut() = status;
--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -126,10 +126,7 @@
                     whole();
                     let _ = self.notes.send(Note::Whole(id));
                 }
-                answer = &mut answer => {
-                    early = Some(answer);
-                    tokio::task::spawn_local(rest.drain());
-                }
+                answer = &mut answer => early = Some(answer),
             }
         }
         let answer = match early {
--- a/tests/streams/mod.rs
+++ b/tests/streams/mod.rs
@@ -398,6 +398,27 @@
     assert_eq!(figure(&node, "/tries"), 0);
 }
 
+#[test]
+fn a_client_that_is_refused_while_it_still_sends_may_finish_and_is_told() {
+    let address = upstream(|_, stream| {
+        write(stream, b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+        let _ = stream.read_to_end(&mut Vec::new());
+    });
+    let node = node_of(address);
+    let mut client = connect(&node);
+    write(&mut client, post("Content-Length: 400000\r\n").as_bytes());
+    write(&mut client, &bytes(200_000));
+    until("not refused", || figure(&node, "/responses/alarm/shed") == 1);
+    // On at its pace, for longer than a head may take.
+    for piece in bytes(200_000).chunks(10_000) {
+        client.get_mut().write_all(piece).expect("it still reads");
+        std::thread::sleep(Duration::from_millis(150));
+    }
+    assert!(head_of(&mut client).starts_with("http/1.1 503"));
+    write(&mut client, b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert!(head_of(&mut client).starts_with("http/1.1 200"), "the connection is in order");
+}
+
 #[test]
 fn a_slow_client_is_given_its_time() {
     let (address, _told) = takes_bodies();
