--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -103,6 +103,7 @@
             }
         };
         let _ = timeout(FINISH, finished).await;
+        mark.take_back();
     }
 
     /// Accepts what waits, and closes the listener with an empty queue: what a close finds there is reset.
--- a/src/bin/hollowpaddle/succession.rs
+++ b/src/bin/hollowpaddle/succession.rs
@@ -47,6 +47,13 @@
         Self { path, own }
     }
 
+    /// Takes the mark away again, unless it is a newer process's by now.
+    pub fn take_back(&self) {
+        if !self.succeeded() {
+            let _ = std::fs::remove_file(&self.path);
+        }
+    }
+
     /// Whether a newer process has left its mark since. In doubt there is none.
     pub fn succeeded(&self) -> bool {
         std::fs::read_to_string(&self.path).is_ok_and(|newest| newest != self.own)
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -278,6 +278,7 @@
             .env("LB_LISTEN", listen.to_string())
             .env("LB_DISCOVERY", discovery.address.to_string())
             .env("LB_CONFIG", &path)
+            .env("TMPDIR", env!("CARGO_TARGET_TMPDIR"))
             .stderr(Stdio::piped())
             .spawn()
             .expect("the node starts");
