--- a/tests/node.rs
+++ b/tests/node.rs
@@ -531,18 +531,7 @@
 
 #[test]
 fn a_bad_configuration_is_told_plainly() {
-    let run = |file: &str| {
-        let path = write_config(file);
-        let output = Command::new(NODE)
-            .env("LB_CONFIG", &path)
-            .env("LB_LISTEN", "127.0.0.1:0")
-            .env("LB_DISCOVERY", "127.0.0.1:1")
-            .output()
-            .expect("it runs");
-        let _ = std::fs::remove_file(path);
-        assert!(!output.status.success());
-        String::from_utf8(output.stderr).expect("UTF-8")
-    };
+    let run = |file: &str| refuses_to_start(&mut Command::new(NODE), file);
     let mut bad = config(vec![]);
     bad["settings"]["Tick"] = json!("often");
     assert!(run(&bad.to_string()).contains("settings.Tick"));
--- a/tests/operations/mod.rs
+++ b/tests/operations/mod.rs
@@ -146,23 +146,12 @@
 
 #[test]
 fn a_bad_address_for_operators_is_told_by_its_name() {
-    let run = |command: &mut Command, file: &serde_json::Value| {
-        let path = write_config(&file.to_string());
-        let output = command
-            .env("LB_CONFIG", &path)
-            .env("LB_LISTEN", "127.0.0.1:0")
-            .env("LB_DISCOVERY", "127.0.0.1:1")
-            .output()
-            .expect("it runs");
-        let _ = std::fs::remove_file(path);
-        assert!(!output.status.success());
-        String::from_utf8(output.stderr).expect("UTF-8")
-    };
     let mut file = config(vec![]);
-    let told = run(Command::new(NODE).env("LB_MANAGEMENT", "nowhere"), &file);
+    let told =
+        refuses_to_start(Command::new(NODE).env("LB_MANAGEMENT", "nowhere"), &file.to_string());
     assert!(told.contains("LB_MANAGEMENT is not an address"), "{told}");
     file["management"] = serde_json::json!("127.0.0.1");
-    let told = run(&mut Command::new(NODE), &file);
+    let told = refuses_to_start(&mut Command::new(NODE), &file.to_string());
     assert!(told.contains("management is not an address"), "{told}");
 }
 
--- a/tests/streams/mod.rs
+++ b/tests/streams/mod.rs
@@ -460,3 +460,38 @@
         assert_eq!(body_of(&mut client, &head).0, format!("r{i}").into_bytes());
     }
 }
+
+#[test]
+fn framing_that_is_malformed_gets_an_error_and_a_close() {
+    let (address, told) = takes_bodies();
+    let node = node_of(address);
+    let wrong = [
+        ("Content-Length: 5\r\nContent-Length: 6\r\n", "hello"),
+        ("Content-Length: -5\r\n", "hello"),
+        ("Content-Length: 5, 5\r\n", "hello"),
+        ("Transfer-Encoding: gzip\r\n", "hello"),
+        ("Transfer-Encoding: chunked, gzip\r\n", "5\r\nhello\r\n0\r\n\r\n"),
+        ("Transfer-Encoding: chunked\r\n", "five\r\nhello\r\n0\r\n\r\n"),
+        ("Transfer-Encoding: chunked\r\n", "fffffffffffffffff\r\nhello"),
+        ("Transfer-Encoding: chunked\r\n", "5\r\nhello!!\r\n0\r\n\r\n"),
+    ];
+    for (framing, body) in wrong {
+        let mut client = connect(&node);
+        write(&mut client, (post(framing) + body).as_bytes());
+        let head = head_of(&mut client);
+        assert!(head.starts_with("http/1.1 400"), "{framing}{body}: {head}");
+        let mut rest = Vec::new();
+        let _ = client.read_to_end(&mut rest);
+        assert!(!rest.starts_with(b"HTTP"), "answered on: {framing}{body}");
+    }
+    // Both at once: the chunks count, no length goes on, and the connection ends with the answer.
+    let mut client = connect(&node);
+    let both = post("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n");
+    write(&mut client, (both + "5\r\nhello\r\n0\r\n\r\n" + &read("smuggled", 5000)).as_bytes());
+    assert!(head_of(&mut client).starts_with("http/1.1 200"));
+    let mut rest = Vec::new();
+    let _ = client.read_to_end(&mut rest);
+    assert_eq!(rest, b"ok");
+    assert_eq!(told.recv_timeout(SOON).expect("a body"), (b"hello".to_vec(), true));
+    assert!(told.try_recv().is_err(), "and nothing else reached the upstream");
+}
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -248,6 +248,20 @@
     path
 }
 
+/// What it says on its way out, where it can't start with this file.
+pub fn refuses_to_start(command: &mut Command, file: &str) -> String {
+    let path = write_config(file);
+    let output = command
+        .env("LB_CONFIG", &path)
+        .env("LB_LISTEN", "127.0.0.1:0")
+        .env("LB_DISCOVERY", "127.0.0.1:1")
+        .output()
+        .expect("it runs");
+    let _ = std::fs::remove_file(path);
+    assert!(!output.status.success());
+    String::from_utf8(output.stderr).expect("UTF-8")
+}
+
 impl Node {
     pub fn start(config: &Value) -> Self {
         Self::start_by(Command::new(NODE), config)
