Say yes at a replaced process's door, for its successor serves the address

The test of a replacement failed one time in some: a question for /-/ready that waited in the old process's queue was answered no, and the front turns from the address at the first no. Ruled out: the newer process (its health said yes before the signal) and the close (no connection was reset). At fault: stop() knew no difference between an end and a replacement.

--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -87,12 +87,10 @@
             () = self.accept(&listener) => {}
             () = stop => {}
         }
-        // From here each answer asks its client to go elsewhere.
-        self.lifecycle.stop();
         // New connections still find us for a moment; where a newer process listens too, they find that one
-        // as soon as we are gone.
+        // as soon as we are gone. From here each answer asks its client to go elsewhere.
         let succeeded = mark.succeeded();
-        tracing::info!(succeeded, "stopping");
+        self.lifecycle.stop(succeeded);
         if !succeeded {
             let _ = timeout(LINGER, self.accept(&listener)).await;
         }
@@ -178,7 +176,7 @@
         let turn = Rc::new(talk.turn());
         let path = request.uri().path();
         let mut answer = if path == "/-/ready" {
-            let ready = self.engine.ready() && self.lifecycle.serving();
+            let ready = self.engine.ready() && self.lifecycle.address_served();
             bare(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
         } else if path == "/api" || path.starts_with("/api/") {
             self.api(request, &turn).await
--- a/src/bin/hollowpaddle/lifecycle.rs
+++ b/src/bin/hollowpaddle/lifecycle.rs
@@ -19,6 +19,8 @@
     Quiesced,
     /// SIGTERM; for good.
     Stopping,
+    /// The same, while a newer process serves the address.
+    Replaced,
 }
 
 impl Phase {
@@ -27,6 +29,7 @@
             Phase::Serving => "serving",
             Phase::Quiesced => "quiesced",
             Phase::Stopping => "stopping",
+            Phase::Replaced => "replaced",
         }
     }
 }
@@ -46,6 +49,12 @@
         self.phase() == Phase::Serving
     }
 
+    /// Whether the address is served, by this process or by the one that replaces it.
+    /// Failure: asked through the old process's queue, the front heard no, and turned from both.
+    pub fn address_served(&self) -> bool {
+        matches!(self.phase(), Phase::Serving | Phase::Replaced)
+    }
+
     /// Sends clients away; false once the process is stopping.
     pub fn quiesce(&self) -> bool {
         self.turn(Phase::Quiesced)
@@ -56,13 +65,14 @@
         self.turn(Phase::Serving)
     }
 
-    pub fn stop(&self) {
-        self.turn(Phase::Stopping);
+    /// Ends the service here, for good.
+    pub fn stop(&self, replaced: bool) {
+        self.turn(if replaced { Phase::Replaced } else { Phase::Stopping });
     }
 
     fn turn(&self, to: Phase) -> bool {
         let from = self.phase();
-        if from == Phase::Stopping {
+        if matches!(from, Phase::Stopping | Phase::Replaced) {
             return false;
         }
         if from != to {
@@ -79,7 +89,7 @@
             let after = match *phase.borrow_and_update() {
                 Phase::Serving => None,
                 Phase::Quiesced => Some(QUIESCE_AFTER),
-                Phase::Stopping => Some(LINGER),
+                Phase::Stopping | Phase::Replaced => Some(LINGER),
             };
             let wait = async {
                 match after {
