--- a/src/bin/hollowpaddle/config.rs
+++ b/src/bin/hollowpaddle/config.rs
@@ -57,7 +57,10 @@
 
 impl File {
     fn read() -> Result<Self, ConfigError> {
-        let path = std::env::var("LB_CONFIG").map_err(|_| ConfigError::NoFile)?;
+        Self::read_from(std::env::var("LB_CONFIG").map_err(|_| ConfigError::NoFile)?)
+    }
+
+    fn read_from(path: String) -> Result<Self, ConfigError> {
         let text = std::fs::read(&path).map_err(|e| ConfigError::Unreadable(path.clone(), e))?;
         let mut reader = serde_json::Deserializer::from_slice(&text);
         serde_path_to_error::deserialize(&mut reader).map_err(|e| {
@@ -93,7 +96,15 @@
 
 impl Config {
     pub fn from_env() -> Result<Self, ConfigError> {
-        let file = File::read()?;
+        Self::from_file(File::read()?)
+    }
+
+    /// The file at `path` with the environment over it, as `check` reads it.
+    pub fn from_path(path: &str) -> Result<Self, ConfigError> {
+        Self::from_file(File::read_from(path.to_owned())?)
+    }
+
+    fn from_file(file: File) -> Result<Self, ConfigError> {
         // The environment and the file say the same; the environment is the platform's first word.
         let say = |name: &str, file: String| std::env::var(name).unwrap_or(file);
         let address = |name: &'static str, file: String| address(name, say(name, file));
--- a/src/bin/hollowpaddle/figures.rs
+++ b/src/bin/hollowpaddle/figures.rs
@@ -5,8 +5,6 @@
 
 use serde_json::{Map, Value, json};
 
-use crate::config::Config;
-
 /// How a request ended, as its client sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -36,10 +34,10 @@
 
 impl Figures {
     /// Every class is there from the start: an absent one could not be told from one that is never counted.
-    pub fn new(config: &Config) -> Rc<Self> {
-        let classes = config.facts.services.iter();
-        let responses =
-            classes.map(|s| Responses { name: s.name.clone(), ..Responses::default() }).collect();
+    pub fn new<'a>(classes: impl Iterator<Item = &'a str>) -> Rc<Self> {
+        let responses = classes
+            .map(|name| Responses { name: name.to_owned(), ..Responses::default() })
+            .collect();
         Rc::new(Self { responses, tries: Rc::default(), active: Cell::new(0) })
     }
 
--- a/src/bin/hollowpaddle/main.rs
+++ b/src/bin/hollowpaddle/main.rs
@@ -19,6 +19,13 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
+use clap::Parser;
+use hollowpaddle::cli::{CheckArgs, Cli, Command, EXIT_CONFIG, Role};
+use hollowpaddle::configuration::ConfigError;
+use hollowpaddle::discovery::config::DiscoveryConfig;
+use hollowpaddle::release::ReleasePlan;
+use hollowpaddle::roles;
+
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
 
@@ -36,22 +43,68 @@
 /// this one need the rest.
 const KEPT_OF_MEMORY: usize = 4;
 
+/// How the program ended other than well: a refused configuration, or a failure once it ran.
+enum Failure {
+    Config(String),
+    Run(String),
+}
+
+impl From<ConfigError> for Failure {
+    fn from(error: ConfigError) -> Self {
+        Self::Config(error.to_string())
+    }
+}
+
 fn main() -> ExitCode {
-    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).init();
-    match start() {
+    let cli = Cli::parse();
+    let role = Command::role(cli.command.as_ref());
+    let process = std::env::var("LB_NAME").unwrap_or_else(|_| role.to_owned());
+    let _process = hollowpaddle::logging::init(cli.log_format, &process, role);
+    let ended = match cli.command {
+        None | Some(Command::Proxy) => start(),
+        Some(Command::Discovery(args)) => DiscoveryConfig::load(&args.config)
+            .map_err(Failure::from)
+            .and_then(|config| roles::discovery(config).map_err(|e| Failure::Run(e.to_string()))),
+        Some(Command::Release(args)) => {
+            ReleasePlan::load(&args.config).map(|p| roles::release(&p)).map_err(Failure::from)
+        }
+        Some(Command::StandIn(args)) => {
+            roles::stand_in(args.listen, args.name).map_err(|e| Failure::Run(e.to_string()))
+        }
+        Some(Command::Check(args)) => check(&args),
+    };
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
+        Err(Failure::Config(message)) => {
+            eprintln!("hollowpaddle: {message}");
+            ExitCode::from(EXIT_CONFIG)
+        }
+        Err(Failure::Run(message)) => {
             eprintln!("hollowpaddle: {message}");
             ExitCode::FAILURE
         }
     }
 }
 
-fn start() -> Result<(), String> {
-    let config = Config::from_env().map_err(|e| e.to_string())?;
+/// `check`: reads the file as its role would, says `ok` and exits.
+fn check(args: &CheckArgs) -> Result<(), Failure> {
+    match args.role {
+        Role::Proxy => {
+            let path = args.config.to_string_lossy();
+            Config::from_path(&path).map_err(|e| Failure::Config(e.to_string()))?;
+        }
+        Role::Discovery => drop(DiscoveryConfig::load(&args.config)?),
+        Role::Release => drop(ReleasePlan::load(&args.config)?),
+    }
+    println!("{}: ok", args.config.display());
+    Ok(())
+}
+
+fn start() -> Result<(), Failure> {
+    let config = Config::from_env().map_err(|e| Failure::Config(e.to_string()))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-    LocalSet::new().block_on(&runtime, run(config))
+    let runtime = runtime.map_err(|e| Failure::Run(format!("runtime: {e}")))?;
+    LocalSet::new().block_on(&runtime, run(config)).map_err(Failure::Run)
 }
 
 async fn run(config: Config) -> Result<(), String> {
@@ -61,7 +114,7 @@
     let listener = open(config.listen)?;
     let calls = config.management.map(open).transpose()?;
     let budget = config.budget();
-    let figures = Figures::new(&config);
+    let figures = Figures::new(config.facts.services.iter().map(|s| s.name.as_str()));
     let memory = Memory::new(config.memory / KEPT_OF_MEMORY);
     let pool = Pool::new(budget.upstreams, &config, figures.tries.clone(), memory.clone());
     let (engine, handle) = Engine::new(&config, pool).map_err(|e| format!("settings: {e}"))?;
--- /dev/null
+++ b/src/discovery/store.rs
@@ -0,0 +1,156 @@
+//! Members by id under one monotonic revision, with a bounded history of changes for watches.
+//!
+//! Pure: no I/O, no clock. Every change that alters the list bumps the revision by one and is kept in the
+//! history; the oldest changes are dropped (compaction) once more than `keep` are held. A watch that asks
+//! from a revision that is no longer covered gets the whole list.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use super::member::{Member, Message, Phase};
+
+/// The list and its history.
+#[derive(Debug)]
+pub struct Store {
+    revision: u64,
+    members: BTreeMap<String, Member>,
+    /// `(revision, entry)`, oldest first, one entry a revision.
+    history: VecDeque<(u64, Member)>,
+    keep: usize,
+}
+
+/// What a watch from some revision is told first.
+#[derive(Debug, PartialEq)]
+pub enum Since {
+    /// Nothing has changed after it yet.
+    Current,
+    /// The changes after it, each id once with its last entry.
+    Changes(Message),
+    /// It is older than the history kept (or unknown): the whole list.
+    Whole(Message),
+}
+
+impl Store {
+    /// An empty list at revision `start`, keeping at most `keep` changes (at least one).
+    pub fn new(start: u64, keep: usize) -> Self {
+        Self {
+            revision: start,
+            members: BTreeMap::new(),
+            history: VecDeque::new(),
+            keep: keep.max(1),
+        }
+    }
+
+    /// The revision of the list as it stands.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// How many members the list has.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Whether the list has no member.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// The oldest revision a watch may ask from and be told changes rather than the whole list.
+    pub fn oldest(&self) -> u64 {
+        self.history.front().map_or(self.revision, |(revision, _)| revision - 1)
+    }
+
+    /// Puts an entry in, or takes it out where its phase is `Deleted`. Returns the new revision, or `None`
+    /// where nothing changed (the same entry again, or the deletion of one that is not there).
+    pub fn apply(&mut self, member: Member) -> Option<u64> {
+        let now = self.members.get(&member.id);
+        let unchanged = match member.phase {
+            Phase::Deleted => now.is_none(),
+            _ => now == Some(&member),
+        };
+        if unchanged {
+            return None;
+        }
+        if member.phase == Phase::Deleted {
+            self.members.remove(&member.id);
+        } else {
+            self.members.insert(member.id.clone(), member.clone());
+        }
+        self.revision += 1;
+        self.history.push_back((self.revision, member));
+        while self.history.len() > self.keep {
+            self.history.pop_front();
+        }
+        Some(self.revision)
+    }
+
+    /// The whole list, `complete`.
+    pub fn whole(&self) -> Message {
+        let members = self.members.values().cloned().collect();
+        Message { revision: self.revision, complete: true, members }
+    }
+
+    /// What a watch that holds `index` is told first. An index ahead of the list (from an instance that had
+    /// more, or made up) is answered with the whole list: it can't be told what it lacks.
+    pub fn since(&self, index: u64) -> Since {
+        if index == self.revision {
+            return Since::Current;
+        }
+        if index > self.revision || index < self.oldest() {
+            return Since::Whole(self.whole());
+        }
+        let mut changed: BTreeMap<&str, &Member> = BTreeMap::new();
+        for (_, member) in self.history.iter().filter(|(revision, _)| *revision > index) {
+            changed.insert(&member.id, member);
+        }
+        let members = changed.into_values().cloned().collect();
+        Since::Changes(Message { revision: self.revision, complete: false, members })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn member(id: &str, phase: Phase) -> Member {
+        Member {
+            id: id.into(),
+            host_port: format!("127.0.0.1:{}", id.len()),
+            locality: "a".into(),
+            flavor: String::new(),
+            cell: 0,
+            phase,
+            size: 1.0,
+            up_since_ms: 0,
+        }
+    }
+
+    #[test]
+    fn a_change_bumps_the_revision_once_and_the_same_entry_not_at_all() {
+        let mut store = Store::new(40, 8);
+        assert_eq!(store.apply(member("a", Phase::Serving)), Some(41));
+        assert_eq!(store.apply(member("a", Phase::Serving)), None);
+        assert_eq!(store.apply(member("b", Phase::Deleted)), None);
+        assert_eq!(store.apply(member("a", Phase::Draining)), Some(42));
+        assert_eq!(store.since(42), Since::Current);
+        let Since::Changes(told) = store.since(40) else { panic!("changes") };
+        assert_eq!((told.revision, told.members.len()), (42, 1), "each id once, its last entry");
+        assert_eq!(told.members[0].phase, Phase::Draining);
+    }
+
+    #[test]
+    fn a_compacted_or_future_index_gets_the_whole_list() {
+        let mut store = Store::new(0, 2);
+        for id in ["a", "b", "c"] {
+            store.apply(member(id, Phase::Serving));
+        }
+        assert_eq!(store.oldest(), 1);
+        assert!(matches!(store.since(1), Since::Changes(m) if m.members.len() == 2));
+        assert!(matches!(store.since(0), Since::Whole(m) if m.complete && m.members.len() == 3));
+        assert!(matches!(store.since(9), Since::Whole(_)));
+        store.apply(member("a", Phase::Deleted));
+        let Since::Changes(told) = store.since(3) else { panic!("changes") };
+        assert_eq!(told.members[0].phase, Phase::Deleted, "a deletion is told as such");
+        assert_eq!(store.whole().members.len(), 2);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,12 +2,23 @@
 //!
 //! Each proxy owns one [`policy::Balancer`], tells it what happens, and carries out
 //! the [`interface::Action`]s it answers with. The module does no I/O and reads no clock.
+//!
+//! Beside the proxy the same program runs other roles, each a module here that the binary only wires up:
+//! the list service ([`discovery`]), staged releases ([`release`]) and a stand-in upstream ([`stand_in`]);
+//! [`cli`], [`configuration`] and [`logging`] are shared by all of them.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod cli;
+pub mod configuration;
+pub mod discovery;
 pub mod interface;
+pub mod logging;
 pub mod policy;
+pub mod release;
+pub mod roles;
 pub mod settings;
+pub mod stand_in;
 mod state;
 
 /// The README's example, compiled as a doc test.
--- /dev/null
+++ b/src/logging/mod.rs
@@ -0,0 +1,22 @@
+//! Log lines to standard error through `tracing-subscriber`, as text or as JSON.
+
+use crate::cli::LogFormat;
+
+/// Installs the subscriber for the whole process and enters a span that names it, so that every line
+/// carries `process` and `role`. The span stays entered for as long as the returned guard lives; on a
+/// current-thread runtime that covers every task, for none of them leaves it.
+///
+/// Call once, first thing; a second call finds a subscriber in place and only enters the span.
+pub fn init(format: LogFormat, process: &str, role: &'static str) -> tracing::span::EnteredSpan {
+    let builder = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false);
+    let _ = match format {
+        LogFormat::Text => builder.try_init(),
+        LogFormat::Json => builder
+            .json()
+            .with_current_span(true)
+            .with_span_list(false)
+            .flatten_event(true)
+            .try_init(),
+    };
+    tracing::info_span!("process", process, role).entered()
+}
--- /dev/null
+++ b/tests/processes.rs
@@ -0,0 +1,151 @@
+//! Several processes of the program on loopback, each role started as an operator would.
+
+#[allow(dead_code)] // Each test file uses part of the harness.
+mod harness;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use harness::{Fleet, PROGRAM, get};
+
+const ASK: [&str; 3] = ["X-Class: read", "X-Deadline-Ms: 2000", "X-Request-Id: t-1"];
+
+fn list_file(upstream: SocketAddr, extra: &str) -> String {
+    format!(
+        "listen = \"127.0.0.1:0\"\nstart_revision = 40\n{extra}\n[[members]]\nid = \"s-1\"\n\
+         host_port = \"{upstream}\"\nlocality = \"a\"\nphase = \"SERVING\"\n"
+    )
+}
+
+/// The example's proxy file with its fixed addresses left to the environment.
+fn proxy_env(discovery: SocketAddr) -> Vec<(&'static str, String)> {
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/examples/proxy.json");
+    vec![
+        ("LB_CONFIG", file.to_owned()),
+        ("LB_LISTEN", "127.0.0.1:0".to_owned()),
+        ("LB_MANAGEMENT", "127.0.0.1:0".to_owned()),
+        ("LB_DISCOVERY", discovery.to_string()),
+    ]
+}
+
+#[test]
+fn five_processes_start_serve_and_stop_within_five_seconds() {
+    let from = Instant::now();
+    let mut fleet = Fleet::default();
+    let upstream = fleet.start("s-1", &["stand-in", "--name", "s-1"], &[]);
+    let list = fleet.file("five.toml", &list_file(fleet.address(upstream), ""));
+    let list = fleet.start("list", &["discovery", "--config", list.to_str().expect("UTF-8")], &[]);
+    let env = proxy_env(fleet.address(list));
+    let env: Vec<(&str, &str)> = env.iter().map(|(k, v)| (*k, v.as_str())).collect();
+    let proxies: Vec<usize> = (0..3).map(|i| fleet.start(&format!("p-{i}"), &[], &env)).collect();
+    for &proxy in &proxies {
+        fleet.ready(proxy);
+        let answer = get(fleet.address(proxy), "/api/stock", &ASK);
+        assert_eq!(answer, Some((200, "s-1\n".to_owned())), "through {proxy}");
+    }
+    drop(fleet);
+    assert!(from.elapsed() < Duration::from_secs(5), "took {:?}", from.elapsed());
+}
+
+#[test]
+fn a_proxy_serves_from_its_last_list_while_the_list_service_is_stopped() {
+    let mut fleet = Fleet::default();
+    let upstream = fleet.start("s-1", &["stand-in", "--name", "s-1"], &[]);
+    let list = fleet.file("paused.toml", &list_file(fleet.address(upstream), ""));
+    let list = fleet.start("list", &["discovery", "--config", list.to_str().expect("UTF-8")], &[]);
+    let env = proxy_env(fleet.address(list));
+    let env: Vec<(&str, &str)> = env.iter().map(|(k, v)| (*k, v.as_str())).collect();
+    let proxy = fleet.start("p", &[], &env);
+    fleet.ready(proxy);
+    fleet.pause(list);
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!(get(fleet.address(proxy), "/api/stock", &ASK).map(|a| a.0), Some(200));
+    fleet.kill(list);
+    assert_eq!(get(fleet.address(proxy), "/api/stock", &ASK).map(|a| a.0), Some(200));
+}
+
+/// Reads a watch until `want` has come or a second has passed; what came.
+fn watch(address: SocketAddr, index: u64, want: &str) -> String {
+    let mut stream = TcpStream::connect(address).expect("it accepts");
+    stream.set_read_timeout(Some(Duration::from_millis(100))).expect("a timeout");
+    let head = format!("GET /api/targets?stream=1&index={index} HTTP/1.1\r\nHost: a\r\n\r\n");
+    stream.write_all(head.as_bytes()).expect("sent");
+    let (mut seen, from) = (Vec::new(), Instant::now());
+    let mut buffer = [0; 4096];
+    while from.elapsed() < Duration::from_secs(1) && !String::from_utf8_lossy(&seen).contains(want)
+    {
+        if let Ok(n) = stream.read(&mut buffer) {
+            seen.extend_from_slice(&buffer[..n]);
+        }
+    }
+    String::from_utf8_lossy(&seen).into_owned()
+}
+
+#[test]
+fn the_list_service_answers_lists_watches_and_bad_requests() {
+    let mut fleet = Fleet::default();
+    let file = fleet.file("list.toml", &list_file("127.0.0.1:9".parse().expect("address"), ""));
+    let list = fleet.start("list", &["discovery", "--config", file.to_str().expect("UTF-8")], &[]);
+    let at = fleet.address(list);
+    let (status, whole) = get(at, "/api/targets", &[]).expect("an answer");
+    assert_eq!(status, 200);
+    assert!(whole.starts_with("{\"revision\":41,\"complete\":true,"), "{whole}");
+    // Older than the history (or from nowhere): the whole list, complete.
+    assert!(watch(at, 3, "\"complete\":true").contains("\"revision\":41,\"complete\":true"));
+    // Current: nothing but a heartbeat until something changes.
+    let quiet = watch(at, 41, "revision");
+    assert!(!quiet.contains("revision") && quiet.starts_with("HTTP/1.1 200"), "{quiet}");
+    for (path, status) in [
+        ("/api/targets?stream=1&index=x", 400),
+        ("/api/targets?stream=2", 400),
+        ("/elsewhere", 404),
+    ] {
+        assert_eq!(get(at, path, &[]).map(|a| a.0), Some(status), "{path}");
+    }
+    let big = format!("Content-Length: {}", 70 << 10);
+    let mut stream = TcpStream::connect(at).expect("it accepts");
+    let head = format!("POST /api/targets HTTP/1.1\r\nHost: a\r\n{big}\r\n\r\n");
+    stream.write_all(head.as_bytes()).expect("sent");
+    let _ = stream.write_all(&vec![b'x'; 70 << 10]);
+    let mut answer = [0; 12];
+    let _ = stream.read_exact(&mut answer);
+    assert_eq!(&answer, b"HTTP/1.1 413");
+    assert_eq!(get(at, "/-/ready", &[]).map(|a| a.0), Some(200), "alive after all that");
+}
+
+#[test]
+fn each_role_refuses_a_bad_file_by_its_key_with_exit_code_2() {
+    let mut fleet = Fleet::default();
+    let list = fleet
+        .file("bad-list.toml", &list_file("127.0.0.1:9".parse().expect("address"), "beat = 1"));
+    let plan = fleet.file("bad-plan.toml", "members = [\"a\"]\nstages = [50, 10, 100]\n");
+    let proxy = fleet
+        .file("bad-proxy.json", "{\"listen\": \"127.0.0.1:0\", \"settings\": {\"Tick\": \"x\"}}");
+    let (list, plan, proxy) = (list.to_str(), plan.to_str(), proxy.to_str());
+    let (list, plan, proxy) = (list.expect("UTF-8"), plan.expect("UTF-8"), proxy.expect("UTF-8"));
+    let runs: [(&[&str], &str); 6] = [
+        (&["discovery", "--config", list], "`beat`"),
+        (&["release", "--config", plan], "`stages`"),
+        (&["proxy"], "`settings"),
+        (&["check", "--role", "discovery", "--config", list], "`beat`"),
+        (&["check", "--role", "release", "--config", plan], "`stages`"),
+        (&["check", "--role", "proxy", "--config", proxy], "`settings"),
+    ];
+    for (args, key) in runs {
+        let output =
+            Command::new(PROGRAM).args(args).env("LB_CONFIG", proxy).output().expect("it runs");
+        let said = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(output.status.code(), Some(2), "{args:?}: {said}");
+        assert!(said.contains(key) && !said.contains("panicked"), "{args:?}: {said}");
+    }
+    let good = concat!(env!("CARGO_MANIFEST_DIR"), "/examples/release.toml");
+    let output = Command::new(PROGRAM).args(["check", "--role", "release", "-c", good]).output();
+    assert_eq!(output.expect("it runs").status.code(), Some(0));
+    let help = Command::new(PROGRAM).arg("--help").output().expect("it runs");
+    let help = String::from_utf8_lossy(&help.stdout);
+    for role in ["proxy", "discovery", "release", "check", "stand-in"] {
+        assert!(help.contains(&format!("  {role} ")), "{role} in {help}");
+    }
+}
