--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -30,16 +30,22 @@
     ]
 }
 
-#[test]
-fn five_processes_start_serve_and_stop_within_five_seconds() {
-    let from = Instant::now();
-    let mut fleet = Fleet::default();
+/// A stand-in upstream, a list service that lists it, and `proxies` proxies on that list; the indices of the
+/// list service and of the proxies.
+fn serving(fleet: &mut Fleet, proxies: usize) -> (usize, Vec<usize>) {
     let upstream = fleet.start("s-1", &["stand-in", "--name", "s-1"], &[]);
-    let list = fleet.file("five.toml", &list_file(fleet.address(upstream), ""));
+    let list = fleet.file(&format!("list-{proxies}.toml"), &list_file(fleet.address(upstream), ""));
     let list = fleet.start("list", &["discovery", "--config", list.to_str().expect("UTF-8")], &[]);
     let env = proxy_env(fleet.address(list));
     let env: Vec<(&str, &str)> = env.iter().map(|(k, v)| (*k, v.as_str())).collect();
-    let proxies: Vec<usize> = (0..3).map(|i| fleet.start(&format!("p-{i}"), &[], &env)).collect();
+    (list, (0..proxies).map(|i| fleet.start(&format!("p-{i}"), &[], &env)).collect())
+}
+
+#[test]
+fn five_processes_start_serve_and_stop_within_five_seconds() {
+    let from = Instant::now();
+    let mut fleet = Fleet::default();
+    let (_, proxies) = serving(&mut fleet, 3);
     for &proxy in &proxies {
         fleet.ready(proxy);
         let answer = get(fleet.address(proxy), "/api/stock", &ASK);
@@ -52,12 +58,8 @@
 #[test]
 fn a_proxy_serves_from_its_last_list_while_the_list_service_is_stopped() {
     let mut fleet = Fleet::default();
-    let upstream = fleet.start("s-1", &["stand-in", "--name", "s-1"], &[]);
-    let list = fleet.file("paused.toml", &list_file(fleet.address(upstream), ""));
-    let list = fleet.start("list", &["discovery", "--config", list.to_str().expect("UTF-8")], &[]);
-    let env = proxy_env(fleet.address(list));
-    let env: Vec<(&str, &str)> = env.iter().map(|(k, v)| (*k, v.as_str())).collect();
-    let proxy = fleet.start("p", &[], &env);
+    let (list, proxies) = serving(&mut fleet, 1);
+    let proxy = proxies[0];
     fleet.ready(proxy);
     fleet.pause(list);
     std::thread::sleep(Duration::from_millis(300));
