--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod settings;
 pub mod stand_in;
 mod state;
+pub mod store;
 
 /// The README's example, compiled as a doc test.
 #[cfg(doctest)]
--- /dev/null
+++ b/src/store/log.rs
@@ -0,0 +1,493 @@
+//! The files of a state directory: opened and checked, appended to, compacted.
+//!
+//! Everything here blocks on the disk. [`Log::append`] returns once the batch is on it (`fdatasync`), so what
+//! it returned `Ok` for is *acknowledged*: no crash and no power loss takes it back.
+
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+use super::record::{self, LONGEST, Read};
+
+/// How a directory with a corrupt record is opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Recovery {
+    /// Refused, with the offset.
+    Strict,
+    /// Opened with what was good before the corrupt record, from the newest good snapshot on. What is
+    /// corrupt is kept beside it under `.corrupt`. An operator's explicit word only: acknowledged records
+    /// after the corrupt one are given up.
+    LastGoodSnapshot,
+}
+
+/// What went wrong with a state directory.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// The system refused an operation.
+    #[error("{}: {source}", path.display())]
+    Io {
+        /// The file or folder.
+        path: PathBuf,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// A record is not what was written.
+    #[error("{}: corrupt record at offset {offset}: {what}", path.display())]
+    Corrupt {
+        /// The file.
+        path: PathBuf,
+        /// Where the record starts, in bytes.
+        offset: u64,
+        /// Which part of it.
+        what: String,
+    },
+    /// Another process has the directory open.
+    #[error("{}: in use by another process", .0.display())]
+    InUse(PathBuf),
+    /// The disk or the stated limit is full; what was acknowledged before stands, and reads go on.
+    #[error("{}: full: {needed} bytes more than the {limit} allowed", path.display())]
+    Full {
+        /// The directory.
+        path: PathBuf,
+        /// What the batch needed beyond the limit, in bytes.
+        needed: u64,
+        /// The limit in bytes; 0 where the disk itself was full.
+        limit: u64,
+    },
+    /// An earlier failure left the end of the log unknown; only opening it anew can tell.
+    #[error("{}: closed to writes after a failed sync", .0.display())]
+    Poisoned(PathBuf),
+    /// A payload over [`LONGEST`] bytes.
+    #[error("a record of {0} bytes")]
+    TooLong(usize),
+}
+
+fn io_at(path: &Path) -> impl FnOnce(io::Error) -> StoreError + '_ {
+    move |source| StoreError::Io { path: path.to_owned(), source }
+}
+
+/// A directory as it was found.
+#[derive(Debug)]
+pub struct Opened {
+    /// Ready for appends after what was found.
+    pub log: Log,
+    /// The state that the records build on, if there was a snapshot.
+    pub snapshot: Option<Vec<u8>>,
+    /// The payloads after it, oldest first.
+    pub records: Vec<Vec<u8>>,
+    /// Bytes of a torn last record that were cut off.
+    pub cut: u64,
+}
+
+/// An open state directory; its lock is held until it is dropped.
+#[derive(Debug)]
+pub struct Log {
+    dir: PathBuf,
+    file: File,
+    path: PathBuf,
+    /// The number of the last record written.
+    sequence: u64,
+    /// The snapshot that this generation builds on.
+    base: u64,
+    length: u64,
+    limit: Option<u64>,
+    poisoned: bool,
+    _lock: Option<File>,
+}
+
+/// What a directory holds, as [`inspect`] found it.
+#[derive(Debug)]
+pub struct Contents {
+    /// The record that the newest snapshot stands for; 0 without one.
+    pub base: u64,
+    /// The newest snapshot.
+    pub snapshot: Option<Vec<u8>>,
+    /// The records after it, oldest first.
+    pub records: Vec<Vec<u8>>,
+    /// Bytes of the log file.
+    pub log_bytes: u64,
+    /// Bytes of a torn last record, which opening will cut off.
+    pub torn: u64,
+}
+
+struct Found {
+    base: u64,
+    snapshot: Option<Vec<u8>>,
+    records: Vec<Vec<u8>>,
+    good: u64,
+    size: u64,
+}
+
+fn snapshot_path(dir: &Path, base: u64) -> PathBuf {
+    dir.join(format!("snapshot-{base:020}"))
+}
+
+fn log_path(dir: &Path, base: u64) -> PathBuf {
+    dir.join(format!("log-{base:020}"))
+}
+
+/// The generations of a directory, oldest first; 0 is always there, empty.
+fn generations(dir: &Path) -> Result<Vec<u64>, StoreError> {
+    let mut found = vec![0];
+    for entry in fs::read_dir(dir).map_err(io_at(dir))? {
+        let name = entry.map_err(io_at(dir))?.file_name();
+        let name = name.to_string_lossy().into_owned();
+        found.extend(name.strip_prefix("snapshot-").and_then(|n| n.parse::<u64>().ok()));
+    }
+    found.sort_unstable();
+    found.dedup();
+    Ok(found)
+}
+
+fn read_file(path: &Path) -> Result<Option<Vec<u8>>, StoreError> {
+    match fs::read(path) {
+        Ok(data) => Ok(Some(data)),
+        Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(None),
+        Err(source) => Err(StoreError::Io { path: path.to_owned(), source }),
+    }
+}
+
+fn corrupt(path: &Path, offset: usize, what: impl Into<String>) -> StoreError {
+    StoreError::Corrupt { path: path.to_owned(), offset: offset as u64, what: what.into() }
+}
+
+/// Reads one generation. A corrupt record in its log ends it: the error comes with what was good before.
+fn examine(dir: &Path, base: u64) -> Result<(Found, Option<StoreError>), StoreError> {
+    let mut snapshot = None;
+    if base > 0 {
+        let path = snapshot_path(dir, base);
+        let data = read_file(&path)?.unwrap_or_default();
+        match record::read(&data, 0) {
+            Read::Whole { sequence, payload, next } if sequence == base && next == data.len() => {
+                snapshot = Some(payload.to_vec());
+            }
+            Read::Corrupt(what) => return Err(corrupt(&path, 0, what)),
+            // A snapshot is renamed into place whole: one that is cut was damaged since.
+            _ => return Err(corrupt(&path, 0, "not one whole snapshot")),
+        }
+    }
+    let path = log_path(dir, base);
+    let data = read_file(&path)?.unwrap_or_default();
+    let size = data.len() as u64;
+    let (mut records, mut at) = (Vec::new(), 0);
+    let mut error = None;
+    loop {
+        match record::read(&data, at) {
+            Read::Whole { sequence, payload, next } => {
+                let expected = base + records.len() as u64 + 1;
+                if sequence != expected {
+                    let what = format!("sequence number {sequence} instead of {expected}");
+                    error = Some(corrupt(&path, at, what));
+                    break;
+                }
+                records.push(payload.to_vec());
+                at = next;
+            }
+            Read::End | Read::Torn => break,
+            Read::Corrupt(what) => {
+                error = Some(corrupt(&path, at, what));
+                break;
+            }
+        }
+    }
+    Ok((Found { base, snapshot, records, good: at as u64, size }, error))
+}
+
+fn newest(dir: &Path, recovery: Recovery) -> Result<Found, StoreError> {
+    let mut first = None;
+    for base in generations(dir)?.into_iter().rev() {
+        let failed = match examine(dir, base) {
+            Ok((found, None)) => return Ok(found),
+            Ok((found, Some(error))) if recovery == Recovery::LastGoodSnapshot => {
+                tracing::error!(%error, kept = found.records.len(), "restored up to a corrupt record");
+                let aside = log_path(dir, base).with_extension("corrupt");
+                fs::copy(log_path(dir, base), &aside).map_err(io_at(&aside))?;
+                return Ok(found);
+            }
+            Ok((_, Some(error))) | Err(error) => error,
+        };
+        if recovery == Recovery::Strict || !matches!(failed, StoreError::Corrupt { .. }) {
+            return Err(failed);
+        }
+        tracing::error!(error = %failed, "going back to an older snapshot");
+        let aside = snapshot_path(dir, base).with_extension("corrupt");
+        fs::rename(snapshot_path(dir, base), &aside).map_err(io_at(&aside))?;
+        first.get_or_insert(failed);
+    }
+    Err(first.unwrap_or_else(|| corrupt(dir, 0, "no generation")))
+}
+
+/// Checks every record of a directory and changes nothing.
+///
+/// # Errors
+/// [`StoreError::Corrupt`] with the file and offset, [`StoreError::Io`] where it can't be read.
+pub fn inspect(dir: &Path) -> Result<Contents, StoreError> {
+    let Found { base, snapshot, records, good, size } = newest(dir, Recovery::Strict)?;
+    Ok(Contents { base, snapshot, records, log_bytes: size, torn: size - good })
+}
+
+fn sync_dir(dir: &Path) -> Result<(), StoreError> {
+    File::open(dir).and_then(|d| d.sync_all()).map_err(io_at(dir))
+}
+
+impl Log {
+    /// Opens `dir`, made where it is not there, and checks every record in it. A torn last record is cut off
+    /// and logged. `limit` bounds the bytes of one generation's log, where given.
+    ///
+    /// # Errors
+    /// [`StoreError::Corrupt`] under [`Recovery::Strict`], [`StoreError::InUse`] while another process has
+    /// it, [`StoreError::Io`] otherwise.
+    pub fn open(dir: &Path, recovery: Recovery, limit: Option<u64>) -> Result<Opened, StoreError> {
+        fs::create_dir_all(dir).map_err(io_at(dir))?;
+        let lock_path = dir.join("lock");
+        let lock = File::create(&lock_path).map_err(io_at(&lock_path))?;
+        lock.try_lock().map_err(|e| match e {
+            fs::TryLockError::WouldBlock => StoreError::InUse(dir.to_owned()),
+            fs::TryLockError::Error(source) => StoreError::Io { path: lock_path.clone(), source },
+        })?;
+        let found = newest(dir, recovery)?;
+        let path = log_path(dir, found.base);
+        let file =
+            OpenOptions::new().create(true).append(true).open(&path).map_err(io_at(&path))?;
+        let cut = found.size - found.good;
+        if cut > 0 {
+            tracing::warn!(path = %path.display(), offset = found.good, cut, "a torn last record is cut off");
+            file.set_len(found.good).map_err(io_at(&path))?;
+        }
+        file.sync_all().map_err(io_at(&path))?;
+        sync_dir(dir)?;
+        let log = Self {
+            dir: dir.to_owned(),
+            file,
+            path,
+            sequence: found.base + found.records.len() as u64,
+            base: found.base,
+            length: found.good,
+            limit,
+            poisoned: false,
+            _lock: Some(lock),
+        };
+        Ok(Opened { log, snapshot: found.snapshot, records: found.records, cut })
+    }
+
+    /// The number of the last record written.
+    pub fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    /// Bytes of the log since the last snapshot.
+    pub fn length(&self) -> u64 {
+        self.length
+    }
+
+    /// Bytes left under the limit, where there is one.
+    pub fn room(&self) -> Option<u64> {
+        self.limit.map(|limit| limit.saturating_sub(self.length))
+    }
+
+    /// Writes the payloads as one batch and waits until they are on disk. On an error none of them counts as
+    /// written, and what was there before stands.
+    ///
+    /// # Errors
+    /// [`StoreError::Full`] where the limit or the disk has no room: the log goes on as it was.
+    /// [`StoreError::Poisoned`] after a failure that left its end unknown.
+    pub fn append<P: AsRef<[u8]>>(&mut self, payloads: &[P]) -> Result<(), StoreError> {
+        if self.poisoned {
+            return Err(StoreError::Poisoned(self.path.clone()));
+        }
+        let mut batch = Vec::new();
+        for (i, payload) in payloads.iter().enumerate() {
+            let payload = payload.as_ref();
+            if payload.len() > LONGEST {
+                return Err(StoreError::TooLong(payload.len()));
+            }
+            record::encode(self.sequence + 1 + i as u64, payload, &mut batch);
+        }
+        let after = self.length + batch.len() as u64;
+        if let Some(limit) = self.limit.filter(|limit| after > *limit) {
+            return Err(StoreError::Full { path: self.dir.clone(), needed: after - limit, limit });
+        }
+        if let Err(source) = self.file.write_all(&batch) {
+            // Part of it may be there: the file goes back to its last whole record.
+            let undone = self.file.set_len(self.length).and_then(|()| self.file.sync_all());
+            self.poisoned = undone.is_err();
+            return Err(match source.kind() {
+                io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => {
+                    let needed = batch.len() as u64;
+                    StoreError::Full { path: self.dir.clone(), needed, limit: 0 }
+                }
+                _ => StoreError::Io { path: self.path.clone(), source },
+            });
+        }
+        if let Err(source) = self.file.sync_data() {
+            // The kernel may have dropped the pages: a second sync that succeeds would prove nothing.
+            self.poisoned = true;
+            return Err(StoreError::Io { path: self.path.clone(), source });
+        }
+        self.length = after;
+        self.sequence += payloads.len() as u64;
+        Ok(())
+    }
+
+    /// Starts a new generation from this state, which must hold everything that was appended. The one before
+    /// is kept, older ones are removed.
+    ///
+    /// # Errors
+    /// [`StoreError::Io`]; the generation in use stays in use.
+    pub fn compact(&mut self, state: &[u8]) -> Result<(), StoreError> {
+        if self.poisoned {
+            return Err(StoreError::Poisoned(self.path.clone()));
+        }
+        if state.len() > LONGEST {
+            return Err(StoreError::TooLong(state.len()));
+        }
+        if self.sequence == self.base {
+            return Ok(());
+        }
+        let base = self.sequence;
+        let mut data = Vec::with_capacity(record::HEAD + state.len());
+        record::encode(base, state, &mut data);
+        let log = log_path(&self.dir, base);
+        // One may be left from a generation that was given up.
+        let _ = fs::remove_file(&log);
+        let file = OpenOptions::new().create(true).append(true).open(&log).map_err(io_at(&log))?;
+        file.sync_all().map_err(io_at(&log))?;
+        write_whole(&snapshot_path(&self.dir, base), &data)?;
+        let before = self.base;
+        (self.file, self.path, self.base, self.length) = (file, log, base, 0);
+        for old in generations(&self.dir)?.into_iter().filter(|g| *g < before) {
+            let _ = fs::remove_file(snapshot_path(&self.dir, old));
+            let _ = fs::remove_file(log_path(&self.dir, old));
+        }
+        Ok(())
+    }
+}
+
+/// Puts `data` at `path` so that a reader finds the old file or the new one, whole: a temporary file, synced,
+/// renamed over it, and the folder synced.
+///
+/// # Errors
+/// [`StoreError::Io`]; the old file stands.
+pub fn write_whole(path: &Path, data: &[u8]) -> Result<(), StoreError> {
+    // Two processes may put the same file in place, one taking over from the other.
+    let temporary = path.with_extension(format!("tmp{}", std::process::id()));
+    let write = || -> io::Result<()> {
+        let mut file = File::create(&temporary)?;
+        file.write_all(data)?;
+        file.sync_all()?;
+        fs::rename(&temporary, path)
+    };
+    write().map_err(io_at(path))?;
+    sync_dir(path.parent().unwrap_or(Path::new(".")))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    struct Dir(PathBuf);
+
+    impl Dir {
+        fn new(name: &str) -> Self {
+            let path = std::env::temp_dir().join(format!("store-{}-{name}", std::process::id()));
+            let _ = fs::remove_dir_all(&path);
+            Self(path)
+        }
+        fn open(&self) -> Result<Opened, StoreError> {
+            Log::open(&self.0, Recovery::Strict, None)
+        }
+    }
+
+    impl Drop for Dir {
+        fn drop(&mut self) {
+            let _ = fs::remove_dir_all(&self.0);
+        }
+    }
+
+    #[test]
+    fn records_and_snapshots_outlive_the_process_and_a_second_one_is_kept_out() {
+        let dir = Dir::new("reopen");
+        let mut log = dir.open().expect("opens").log;
+        assert!(matches!(dir.open(), Err(StoreError::InUse(_))));
+        log.append(&["a", "b"]).expect("written");
+        log.compact(b"a+b").expect("compacted");
+        log.append(&["c"]).expect("written");
+        drop(log);
+        let opened = dir.open().expect("opens");
+        assert_eq!(opened.snapshot.as_deref(), Some(&b"a+b"[..]));
+        assert_eq!((opened.records, opened.cut), (vec![b"c".to_vec()], 0));
+        assert_eq!(opened.log.sequence(), 3);
+    }
+
+    #[test]
+    fn a_log_cut_at_every_byte_of_its_last_record_opens_without_it() {
+        let dir = Dir::new("cut");
+        let mut log = dir.open().expect("opens").log;
+        log.append(&["first", "second"]).expect("written");
+        let whole = log.length();
+        log.append(&["the last"]).expect("written");
+        let path = log.path.clone();
+        drop(log);
+        let data = fs::read(&path).expect("readable");
+        for cut in whole..data.len() as u64 {
+            fs::write(&path, &data[..cut as usize]).expect("cut");
+            let opened = dir.open().expect("a torn record is no error");
+            assert_eq!((opened.records.len(), opened.cut), (2, cut - whole));
+        }
+    }
+
+    #[test]
+    fn a_flipped_byte_is_refused_with_its_offset_and_restored_only_on_word() {
+        let dir = Dir::new("flip");
+        let mut log = dir.open().expect("opens").log;
+        log.append(&["zero"]).expect("written");
+        log.compact(b"snapshot").expect("compacted");
+        log.append(&["first"]).expect("written");
+        let second = log.length();
+        log.append(&["second", "third"]).expect("written");
+        let path = log.path.clone();
+        drop(log);
+        let mut data = fs::read(&path).expect("readable");
+        data[second as usize + record::HEAD + 2] ^= 4;
+        fs::write(&path, &data).expect("spoilt");
+        for _ in 0..2 {
+            let refused = dir.open().expect_err("refused");
+            assert!(matches!(refused, StoreError::Corrupt { offset, .. } if offset == second));
+        }
+        let opened = Log::open(&dir.0, Recovery::LastGoodSnapshot, None).expect("on word");
+        assert_eq!(opened.snapshot.as_deref(), Some(&b"snapshot"[..]));
+        assert_eq!(opened.records, [b"first"]);
+        drop(opened);
+        assert!(path.with_extension("corrupt").exists(), "what was corrupt is kept");
+        assert_eq!(dir.open().expect("sound again").records, [b"first"]);
+    }
+
+    #[test]
+    fn a_corrupt_snapshot_goes_back_one_generation_on_word_only() {
+        let dir = Dir::new("back");
+        let mut log = dir.open().expect("opens").log;
+        for state in ["one", "two", "three"] {
+            log.append(&[state]).expect("written");
+            log.compact(state.as_bytes()).expect("compacted");
+        }
+        drop(log);
+        let path = snapshot_path(&dir.0, 3);
+        let data = fs::read(&path).expect("readable");
+        fs::write(&path, &data[..data.len() - 1]).expect("cut");
+        assert!(matches!(dir.open(), Err(StoreError::Corrupt { offset: 0, .. })));
+        let opened = Log::open(&dir.0, Recovery::LastGoodSnapshot, None).expect("on word");
+        assert_eq!(opened.snapshot.as_deref(), Some(&b"two"[..]));
+        assert_eq!(opened.records, [b"three"], "the log after it still holds the rest");
+    }
+
+    #[test]
+    fn a_full_store_says_so_and_keeps_what_it_acknowledged() {
+        let dir = Dir::new("full");
+        let mut log = Log::open(&dir.0, Recovery::Strict, Some(100)).expect("opens").log;
+        log.append(&[[1; 40]]).expect("room");
+        assert!(matches!(log.append(&[[2; 40]]), Err(StoreError::Full { needed: 20, .. })));
+        log.append(&[[3; 20]]).expect("a smaller one still fits");
+        drop(log);
+        assert_eq!(dir.open().expect("opens").records, [vec![1; 40], vec![3; 20]]);
+    }
+}
