--- /dev/null
+++ b/tests/list_service.rs
@@ -0,0 +1,253 @@
+//! The list service as several processes, with faults between them (issue 12).
+
+#[allow(dead_code)] // Each test file uses part of the harness.
+mod harness;
+
+use std::collections::BTreeSet;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use harness::{ASK, Cluster, Fleet, Watch, ask, free, get, look, member, post, until};
+use serde_json::{Value, json};
+
+const SOON: Duration = Duration::from_secs(5);
+
+fn revision(message: &Value) -> u64 {
+    message["revision"].as_u64().expect("a revision")
+}
+
+fn ids(message: &Value) -> Vec<String> {
+    let members = message["members"].as_array().expect("members");
+    members.iter().map(|m| m["id"].as_str().expect("an id").to_owned()).collect()
+}
+
+#[test]
+fn a_watch_goes_on_at_another_instance_when_the_writer_is_killed_mid_stream() {
+    let mut fleet = Fleet::default();
+    let cluster = Cluster::start(&mut fleet, 3, "");
+    let writer = cluster.leader(None);
+    let stop = Arc::new(AtomicBool::new(false));
+    let (lists, told_to_stop) = (cluster.lists.clone(), stop.clone());
+    // A watcher that begins at the writer and takes the next instance when its watch ends.
+    let watching = thread::spawn(move || {
+        let (mut at, mut held, mut seen, mut revisions) = (writer, 0, BTreeSet::new(), Vec::new());
+        let mut watch = Watch::open(lists[at], held);
+        while !told_to_stop.load(Ordering::Relaxed) {
+            match watch.next(Duration::from_millis(100)) {
+                Some(message) => {
+                    held = revision(&message);
+                    revisions.push(held);
+                    seen.extend(ids(&message));
+                }
+                None if TcpStream::connect(lists[at]).is_err() => {
+                    at = (at + 1) % lists.len();
+                    watch = Watch::open(lists[at], held);
+                }
+                None => {}
+            }
+        }
+        (seen, revisions)
+    });
+    let mut acknowledged = Vec::new();
+    for i in 0..200 {
+        if i == 100 {
+            fleet.kill(cluster.at[writer]);
+        }
+        let id = format!("m-{i}");
+        cluster.register(&id, free());
+        acknowledged.push(id);
+    }
+    let next = cluster.leader(Some(writer));
+    let last = look(cluster.calls[next], "/admin/stats")["revision"].as_u64().expect("a revision");
+    // Had from the list itself, so that a late watch is told apart from a gap.
+    until("the survivors agree", SOON, || {
+        (0..3)
+            .filter(|i| *i != writer)
+            .all(|i| look(cluster.lists[i], "/-/ready")["revision"] == last)
+    });
+    thread::sleep(Duration::from_millis(500));
+    stop.store(true, Ordering::Relaxed);
+    let (seen, revisions) = watching.join().expect("the watcher");
+    assert!(revisions.windows(2).all(|w| w[0] < w[1]), "a revision came again or went back");
+    assert_eq!(revisions.last(), Some(&last));
+    assert!(acknowledged.iter().all(|id| seen.contains(id)), "a gap");
+}
+
+#[test]
+fn proxies_serve_on_while_every_instance_is_down_for_thirty_seconds() {
+    let mut fleet = Fleet::default();
+    let cluster = Cluster::start(&mut fleet, 3, "");
+    let upstream = fleet.start("s-1", &["stand-in", "--name", "s-1"], &[]);
+    cluster.register("s-1", fleet.address(upstream));
+    let lists: Vec<String> = cluster.lists.iter().map(ToString::to_string).collect();
+    let proxies: Vec<usize> =
+        (0..2).map(|i| fleet.proxy(&format!("p-{i}"), &lists.join(","), &[]).0).collect();
+    proxies.iter().for_each(|p| fleet.ready(*p));
+    cluster.at.iter().for_each(|i| fleet.kill(*i));
+    let (from, mut asked) = (Instant::now(), 0);
+    while from.elapsed() < Duration::from_secs(30) {
+        for &proxy in &proxies {
+            let answer = get(fleet.address(proxy), "/api/stock", &ASK);
+            assert_eq!(answer, Some((200, "s-1\n".into())), "request {asked}");
+            asked += 1;
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    assert!(asked > 200, "{asked}");
+    // One alone serves what it kept; two decide again.
+    fleet.restart(cluster.at[1]);
+    until("both proxies watch the one that is back", SOON, || {
+        look(cluster.calls[1], "/admin/stats")["watches"] == 2
+    });
+    fleet.restart(cluster.at[2]);
+    let second = fleet.start("s-2", &["stand-in", "--name", "s-2"], &[]);
+    cluster.register("s-2", fleet.address(second));
+    let (status, answer) = cluster.write("/admin/members/leave", r#"{"id":"s-1"}"#);
+    assert_eq!(status, 200, "{answer}");
+    for &proxy in &proxies {
+        until("the news is with the proxy", Duration::from_secs(2), || {
+            get(fleet.address(proxy), "/api/stock", &ASK) == Some((200, "s-2\n".into()))
+        });
+    }
+}
+
+#[test]
+fn a_compacted_revision_gets_the_whole_list() {
+    let mut fleet = Fleet::default();
+    let cluster = Cluster::start(&mut fleet, 1, "history = 4");
+    let first = cluster.register("m-0", free());
+    for i in 1..10 {
+        cluster.register(&format!("m-{i}"), free());
+    }
+    let told = Watch::open(cluster.lists[0], first).next(SOON).expect("told");
+    assert_eq!((&told["complete"], ids(&told).len()), (&json!(true), 10));
+    let told = Watch::open(cluster.lists[0], first + 7).next(SOON).expect("told");
+    assert_eq!((&told["complete"], ids(&told)), (&json!(false), vec!["m-8".into(), "m-9".into()]));
+}
+
+#[test]
+fn a_follower_that_was_cut_off_catches_up_and_tells_nothing_old_as_new() {
+    let mut fleet = Fleet::default();
+    // A small log: what the follower missed has become a snapshot meanwhile.
+    let cluster = Cluster::start(&mut fleet, 3, "snapshot_bytes = 4096\nhistory = 16");
+    let before = cluster.register("before", free());
+    let leader = cluster.leader(None);
+    let follower = (leader + 1) % 3;
+    until("it has the first", SOON, || {
+        look(cluster.lists[follower], "/-/ready")["revision"] == before
+    });
+    let mut watch = Watch::open(cluster.lists[follower], before);
+    fleet.pause(cluster.at[follower]);
+    let mut last = before;
+    for i in 0..400 {
+        last = cluster.register(&format!("m-{}", i % 20), free());
+    }
+    fleet.resume(cluster.at[follower]);
+    // A watch that is ahead of it is told nothing until it has caught up.
+    let mut ahead = Watch::open(cluster.lists[follower], last - 1);
+    let told = ahead.next(SOON).expect("caught up");
+    assert_eq!(revision(&told), last);
+    let mut held = before;
+    while held < last {
+        let told = watch.next(SOON).expect("goes on");
+        assert!(revision(&told) > held, "went back");
+        held = revision(&told);
+    }
+    assert_eq!(cluster.leader(None), leader, "one that comes back unseats nobody");
+}
+
+#[test]
+fn what_is_malformed_or_too_large_gets_an_error_and_kills_nobody() {
+    let mut fleet = Fleet::default();
+    let cluster = Cluster::start(&mut fleet, 3, "");
+    let (list, calls) = (cluster.lists[0], cluster.calls[0]);
+    for (path, body, status) in [
+        ("/admin/members", "{", 400),
+        ("/admin/members", r#"{"member":{"id":"a","host_port":"x","phase":"SERVING"}}"#, 400),
+        ("/admin/members", r#"{"member":{"id":"a","host_port":"127.0.0.1:1","phase":"NEW"}}"#, 400),
+        ("/admin/members/phase", r#"{"id":"a","phase":"NEW"}"#, 400),
+        ("/admin/members/leave", r#"{"id":"a","more":1}"#, 400),
+        ("/admin/leases/acquire", r#"{"duty":"d","holder":"h","ttl_ms":-1}"#, 400),
+        ("/peer/messages", "\u{1}\u{0}\u{0}\u{0}\u{ff}", 400),
+        ("/peer/messages", "\u{7f}\u{7f}\u{7f}\u{7f}", 400),
+        ("/nowhere", "{}", 404),
+        ("/metrics", "{}", 405),
+    ] {
+        assert_eq!(post(calls, path, body).map(|a| a.0), Some(status), "{path} {body}");
+    }
+    let large = "x".repeat(70 << 10);
+    assert_eq!(post(calls, "/admin/members", &large).map(|a| a.0), Some(413));
+    assert_eq!(ask(list, "PUT", "/api/targets", &[], "").map(|a| a.0), Some(405));
+    assert_eq!(get(list, "/api/targets?index=-3", &[]).map(|a| a.0), Some(400));
+    let head = format!("X-Much: {}", large.repeat(5));
+    assert_eq!(get(list, "/api/targets", &[&head]).map(|a| a.0), Some(431));
+    for rubbish in ["\r\n\r\n\r\n", "GET /api/targets HTTP/9\r\n\r\n", "\0\0\0\0\0\0\0\0\r\n\r\n"] {
+        let mut stream = TcpStream::connect(list).expect("it accepts");
+        stream.set_read_timeout(Some(SOON)).expect("a timeout");
+        stream.write_all(rubbish.as_bytes()).expect("sent");
+        let _ = stream.shutdown(std::net::Shutdown::Write);
+        let mut answer = String::new();
+        let _ = stream.read_to_string(&mut answer);
+        assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 400"), "{answer}");
+    }
+    assert_eq!(
+        cluster.write("/admin/members", &member("a", free())).0,
+        200,
+        "alive after all that"
+    );
+    assert!((0..3).all(|i| get(cluster.lists[i], "/-/ready", &[]).map(|a| a.0) == Some(200)));
+}
+
+#[test]
+fn one_change_among_a_thousand_members_reaches_three_hundred_watches() {
+    let mut fleet = Fleet::default();
+    let mut seeds = String::new();
+    for i in 0..1000 {
+        seeds += &format!(
+            "[[members]]\nid = \"m-{i}\"\nhost_port = \"127.0.0.1:{}\"\nphase = \"SERVING\"\n",
+            10_000 + i
+        );
+    }
+    let cluster = Cluster::start(&mut fleet, 3, &seeds);
+    let whole = look(cluster.lists[2], "/api/targets");
+    assert_eq!(ids(&whole).len(), 1000);
+    let at = |i: usize| -> SocketAddr { cluster.lists[i % 3] };
+    let mut watches: Vec<Watch> = (0..300).map(|i| Watch::open(at(i), revision(&whole))).collect();
+    let last = cluster.register("new", free());
+    for watch in &mut watches {
+        let told = watch.next(SOON).expect("the change");
+        assert_eq!((revision(&told), ids(&told)), (last, vec!["new".to_owned()]));
+    }
+}
+
+#[test]
+fn a_member_that_stops_renewing_drains_and_goes_and_a_new_leader_forgets_none() {
+    let mut fleet = Fleet::default();
+    let cluster = Cluster::start(&mut fleet, 3, "");
+    let services = cluster.services();
+    let args = ["stand-in", "--name", "s-1", "--services", &services, "--ttl-ms", "900"];
+    let upstream = fleet.start("s-1", &args, &[]);
+    let phase = |of: usize| {
+        let list = look(cluster.lists[of], "/api/targets");
+        let members = list["members"].as_array().cloned().unwrap_or_default();
+        members.iter().find(|m| m["id"] == "s-1").map(|m| m["phase"].clone())
+    };
+    let leader = cluster.leader(None);
+    let other = (leader + 1) % 3;
+    until("it is listed", SOON, || phase(other) == Some(json!("SERVING")));
+    fleet.kill(cluster.at[leader]);
+    cluster.leader(Some(leader));
+    thread::sleep(Duration::from_millis(1500));
+    assert_eq!(phase(other), Some(json!("SERVING")), "it went on renewing at the new leader");
+    fleet.pause(upstream);
+    until("it drains", SOON, || phase(other) == Some(json!("DRAINING")));
+    fleet.resume(upstream);
+    until("it serves again", SOON, || phase(other) == Some(json!("SERVING")));
+    fleet.kill(upstream);
+    until("it drains", SOON, || phase(other) == Some(json!("DRAINING")));
+    until("it goes", SOON, || phase(other).is_none());
+}
