--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -11,7 +11,7 @@
 use super::machine::Machine;
 use super::storage::{DecodeError, Kept, Record};
 use crate::lease::expiry::Expiry;
-use crate::lease::table::LeaseCommand;
+use crate::lease::table::{LeaseCommand, Token};
 
 /// Elections begin after this many ticks without word of a leader, at the earliest; and a leader gives word
 /// every [`HEARTBEAT_TICKS`].
@@ -59,6 +59,8 @@
     pub messages: Vec<Message>,
     /// Outcomes of commands in the order of the log, of this instance's proposals and others'.
     pub outcomes: Vec<(ProposalId, Outcome)>,
+    /// Grants that ended for want of a renewal, as the leader saw it: the duty and the token.
+    pub expired: Vec<(String, Token)>,
     /// Whether the leader, as known here, has changed.
     pub leader_changed: bool,
 }
@@ -310,14 +312,20 @@
             }
             let command: Command = postcard::from_bytes(&entry.data)?;
             let touched = self.leading.then(|| touched(&command)).flatten();
-            let expires = matches!(command, Command::Lease(LeaseCommand::Expire { .. }));
+            let expires = match &command {
+                Command::Lease(LeaseCommand::Expire { duty, token, .. }) => {
+                    Some((duty.clone(), *token))
+                }
+                _ => None,
+            };
             let outcome = self.machine.apply(command);
             // What was refused, and an expiry that a renewal forestalled, must not lengthen a lease.
             let moot = match &outcome {
                 Outcome::Refused(_) => true,
-                Outcome::Grant(grant) => expires && grant.is_some(),
+                Outcome::Grant(grant) => expires.is_some() && grant.is_some(),
                 _ => false,
             };
+            turn.expired.extend(expires.filter(|_| !moot && self.leading));
             if let Some(key) = touched.filter(|_| !moot) {
                 self.watch(key, now);
             }
--- a/src/replica/host.rs
+++ b/src/replica/host.rs
@@ -230,6 +230,9 @@
                 let _ = queue.try_send(data.into());
             }
         }
+        for (duty, token) in turn.expired {
+            tracing::warn!(duty, lease = token, "duty expired");
+        }
         let mut waiting = self.waiting.borrow_mut();
         for (id, outcome) in turn.outcomes {
             if let Some(waiter) = waiting.remove(&id) {
--- a/tests/duties.rs
+++ b/tests/duties.rs
@@ -59,6 +59,7 @@
     let text = get(b, "/metrics", &[]).expect("figures").1;
     assert!(text.contains("duty_grants_total{duty=\"sweep\"} 1"), "{text}");
     assert!(fleet.logged(second, "duty held"));
+    assert!(fleet.logged(cluster.at[cluster.leader(None)], "duty expired"), "a loss is told too");
 }
 
 #[test]
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -107,8 +107,13 @@
 
     /// Whether a line of its log since its start holds this.
     pub fn logged(&self, i: usize, what: &str) -> bool {
+        self.line(i, what).is_some()
+    }
+
+    /// The first line of its log since its start that holds this.
+    pub fn line(&self, i: usize, what: &str) -> Option<String> {
         let log = self.processes[i].log.lock().expect("a log");
-        log.iter().any(|line| line.contains(what))
+        log.iter().find(|line| line.contains(what)).cloned()
     }
 
     /// Waits until it has ended by itself: its exit code.
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -8,7 +8,7 @@
 use std::process::Command;
 use std::time::{Duration, Instant};
 
-use harness::{ASK, Fleet, PROGRAM, Watch, get};
+use harness::{ASK, Cluster, Fleet, PROGRAM, Watch, get, until};
 use serde_json::json;
 
 const SOON: Duration = Duration::from_secs(2);
@@ -129,3 +129,41 @@
         assert!(help.contains(&format!("  {role} ")), "{role} in {help}");
     }
 }
+
+/// A log line in JSON that holds this text.
+fn json_line(fleet: &Fleet, i: usize, what: &str) -> serde_json::Value {
+    let mut line = None;
+    until(what, SOON, || {
+        line = fleet.line(i, what);
+        line.is_some()
+    });
+    serde_json::from_str(&line.expect("found")).expect("one JSON object a line")
+}
+
+#[test]
+fn json_log_lines_name_process_role_and_the_request_or_lease_they_are_about() {
+    let mut fleet = Fleet::default();
+    let cluster = Cluster::start(&mut fleet, 1, "");
+    let json = [("LB_LOG_FORMAT", "json")];
+    let services = cluster.services();
+    let args = ["sweep", "--services", &services, "--holder", "h", "--ttl-ms", "500"];
+    let sweep = fleet.start("sweeper", &args, &json);
+    let held = json_line(&fleet, sweep, "duty held");
+    assert_eq!(
+        (&held["span"]["process"], &held["span"]["role"]),
+        (&json!("sweeper"), &json!("sweep"))
+    );
+    assert!(held["lease"].is_u64(), "{held}");
+
+    let upstream = fleet.start("s-1", &["stand-in", "--name", "s-1"], &[]);
+    cluster.register("s-1", fleet.address(upstream));
+    let (proxy, _) = fleet.proxy("p", &cluster.lists[0].to_string(), &json);
+    fleet.ready(proxy);
+    let mut stream = TcpStream::connect(fleet.address(proxy)).expect("it accepts");
+    let head = "POST /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: cut-short\r\nX-Class: alarm\r\n\
+                X-Deadline-Ms: 2000\r\nContent-Length: 10\r\n\r\nabc";
+    stream.write_all(head.as_bytes()).expect("sent");
+    stream.shutdown(std::net::Shutdown::Write).expect("shut");
+    let line = json_line(&fleet, proxy, "the body of a request");
+    assert_eq!((&line["request"], &line["span"]["role"]), (&json!("cut-short"), &json!("proxy")));
+}
