Docs: a public page links to nothing private

Cause: cargo doc with warnings denied failed on a link to a private constant in src/calls/mod.rs.

Change: the figure is written out.

Measured: cargo doc clean.

--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -65,7 +65,7 @@
     answer
 }
 
-/// Accepts connections until the task is dropped, and hands each stream to `converse`, at most [`MOST`] at once.
+/// Accepts connections until the task is dropped, and hands each stream to `converse`, at most 512 at once.
 /// A failed accept is logged and tried again.
 pub async fn accept<F: Future<Output = ()> + 'static>(
     listener: TcpListener,
