A silent instance of the list service no longer costs its callers their lease

Cause: a call that ran out of time was given up without moving on, so a holder asked a paused leader again and again until its lease had passed (suspected from reading; shown: a lease of 4 s was lost 3.8 s after SIGSTOP of the leader, though the others had elected another after 0.7 s). The test harness had the like: a write began at the first instance, paused or not (one failure in 20 runs on four busy cores); the program's own logs ruled out a missing leader there.

Change: each instance gets its part of the time, 0.1 to 1 s, and the next call begins at another. The harness asks first who decided last.

--- a/src/calls/instances.rs
+++ b/src/calls/instances.rs
@@ -11,6 +11,10 @@
 
 use super::{CallError, ask};
 
+/// How long one instance may take to answer, at least and at most.
+const LEAST: Duration = Duration::from_millis(100);
+const MOST: Duration = Duration::from_secs(1);
+
 /// The management addresses of the instances, and the one that last answered as leader.
 #[derive(Debug)]
 pub struct Instances {
@@ -69,13 +73,17 @@
             .with_jitter()
             .without_max_times()
             .build();
-        let each = within.min(Duration::from_secs(1));
+        // One that is silent (paused, or cut off) must leave time for the others.
+        let each = (within / self.addresses.len() as u32).clamp(LEAST, MOST).min(within);
         let mut last = String::from("not asked");
         loop {
             let address = self.leader.get();
             let call = ask(address, Method::POST, path, body.to_string(), each);
             match timeout_at(until, call).await {
-                Err(_) => return Err(Undecided::Time(within, last)),
+                Err(_) => {
+                    self.next();
+                    return Err(Undecided::Time(within, last));
+                }
                 Ok(Ok((status, answer))) => {
                     let value: Value = serde_json::from_slice(&answer).unwrap_or_default();
                     if status == StatusCode::MISDIRECTED_REQUEST {
--- a/tests/duties.rs
+++ b/tests/duties.rs
@@ -16,8 +16,12 @@
 
 /// A process that offers to sweep; its index.
 fn sweeper(fleet: &mut Fleet, cluster: &Cluster, name: &str) -> usize {
+    sweeper_of(fleet, cluster, name, TTL)
+}
+
+fn sweeper_of(fleet: &mut Fleet, cluster: &Cluster, name: &str, ttl: Duration) -> usize {
     let services = cluster.services();
-    let ttl = TTL.as_millis().to_string();
+    let ttl = ttl.as_millis().to_string();
     let args =
         ["sweep", "--services", &services, "--holder", name, "--ttl-ms", &ttl, "--after-ms", "100"];
     fleet.start(name, &args, &[])
@@ -149,3 +153,22 @@
     until("all have it", SOON, || cluster.calls.iter().all(|i| kept(i) == Some(highest)));
     assert!(duty(cluster.calls[0]).is_null(), "nobody asked for that one");
 }
+
+#[test]
+fn a_leader_that_falls_silent_costs_no_lease_that_outlasts_an_election() {
+    let mut fleet = Fleet::default();
+    let cluster = Cluster::start(&mut fleet, 3, "");
+    let holder = sweeper_of(&mut fleet, &cluster, "holder", 4 * TTL);
+    let at = fleet.address(holder);
+    until("held", SOON, || token(at).is_some());
+    let (mine, leader) = (token(at), cluster.leader(None));
+    fleet.pause(cluster.at[leader]);
+    let from = Instant::now();
+    while from.elapsed() < 6 * TTL {
+        assert_eq!(token(at), mine, "lost after {:?}", from.elapsed());
+        thread::sleep(Duration::from_millis(10));
+    }
+    fleet.resume(cluster.at[leader]);
+    thread::sleep(TTL);
+    assert_eq!(token(at), mine);
+}
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -2,6 +2,7 @@
 //! each step bounded in time. Every process still running when the [`Fleet`] is dropped is killed and
 //! reaped, so a failing test leaves nothing behind.
 
+use std::cell::Cell;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -265,6 +266,8 @@
     pub calls: Vec<SocketAddr>,
     /// Where each keeps its state.
     pub dirs: Vec<PathBuf>,
+    /// Which decided last: asked first, for another may be paused and keep its caller waiting.
+    decided: Cell<SocketAddr>,
 }
 
 impl Cluster {
@@ -292,7 +295,8 @@
             let args = ["discovery", "--config", file.to_str().expect("UTF-8")];
             at.push(fleet.start(&format!("list-{}", i + 1), &args, &[]));
         }
-        let cluster = Self { at, lists, calls, dirs };
+        let decided = Cell::new(calls[0]);
+        let cluster = Self { at, lists, calls, dirs, decided };
         cluster.leader(None);
         cluster.at.iter().for_each(|i| fleet.ready(*i));
         cluster
@@ -306,7 +310,9 @@
             leader = (0..self.calls.len()).filter(|i| Some(*i) != not).find(leads);
             leader.is_some()
         });
-        leader.expect("found")
+        let leader = leader.expect("found");
+        self.decided.set(self.calls[leader]);
+        leader
     }
 
     /// Where all are called, with commas between.
@@ -317,9 +323,10 @@
 
     /// A write, made of whichever instance decides; the status and answer.
     pub fn write(&self, path: &str, body: &str) -> (u16, Value) {
-        let (from, mut at) = (Instant::now(), self.calls[0]);
+        let (from, mut at) = (Instant::now(), self.decided.get());
         for next in self.calls.iter().cycle() {
-            let answer = post(at, path, body);
+            let asked = at;
+            let answer = post(asked, path, body);
             let value =
                 answer.as_ref().and_then(|(_, body)| serde_json::from_str::<Value>(body).ok());
             let value = value.unwrap_or_default();
@@ -330,7 +337,10 @@
                     at = value["leader"].as_str().and_then(|a| a.parse().ok()).unwrap_or(at);
                 }
                 None | Some(421 | 503) => thread::sleep(Duration::from_millis(10)),
-                Some(status) => return (status, value),
+                Some(status) => {
+                    self.decided.set(asked);
+                    return (status, value);
+                }
             }
             assert!(from.elapsed() < START, "{path}: nobody decided within {START:?}");
         }
