A proxy with several list addresses leaves one that has gone silent

Cause: a pushed list ("automatic") has no limit on silence, for the one agent on the machine is silent while discovery is down. An instance of the list service that was paused kept its watches for good.

Change: where there are other addresses, a watch without the 2 s sign of life is given up after 3.5 s. One address is treated as before. The example is "automatic", as a list that is pushed is, so the tests go this way.

--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -498,7 +498,8 @@
     fn subscribe(&mut self) {
         self.watch_serial += 1;
         let (Some(address), revision) = self.follow.target() else { return };
-        let (serial, beats, notes) = (self.watch_serial, self.must_ask, self.own_notes.clone());
+        let (serial, notes) = (self.watch_serial, self.own_notes.clone());
+        let beats = self.must_ask || self.follow.beats();
         self.watch = Some(AbortOnDrop(tokio::task::spawn_local(async move {
             let told = |list| drop(notes.send(Note::Listed { serial, list }));
             client::watch(address, revision, beats, told).await;
--- a/tests/list_service.rs
+++ b/tests/list_service.rs
@@ -251,3 +251,28 @@
     until("it drains", SOON, || phase(other) == Some(json!("DRAINING")));
     until("it goes", SOON, || phase(other).is_none());
 }
+
+#[test]
+fn a_proxy_leaves_an_instance_that_has_gone_silent() {
+    let mut fleet = Fleet::default();
+    let cluster = Cluster::start(&mut fleet, 3, "");
+    let upstream = fleet.start("s-1", &["stand-in", "--name", "s-1"], &[]);
+    cluster.register("s-1", fleet.address(upstream));
+    // It watches the first address; the writer may be that one too.
+    let lists: Vec<String> = cluster.lists.iter().map(ToString::to_string).collect();
+    let (proxy, _) = fleet.proxy("p", &lists.join(","), &[]);
+    fleet.ready(proxy);
+    fleet.pause(cluster.at[0]);
+    cluster.leader(Some(0));
+    let second = fleet.start("s-2", &["stand-in", "--name", "s-2"], &[]);
+    cluster.register("s-2", fleet.address(second));
+    assert_eq!(cluster.write("/admin/members/leave", r#"{"id":"s-1"}"#).0, 200);
+    // PROTOCOL: news counts as told after 6 s.
+    let took = until("the news", Duration::from_secs(6), || {
+        get(fleet.address(proxy), "/api/stock", &ASK) == Some((200, "s-2\n".into()))
+    });
+    eprintln!("news past a silent instance after {took:?}");
+    fleet.resume(cluster.at[0]);
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!(get(fleet.address(proxy), "/api/stock", &ASK), Some((200, "s-2\n".into())));
+}
