Releases: a new version that nobody reaches breaks its stage

Cause: a refused connection counted like a turn-away, as load, and proxies leave an unreachable upstream alone after a few tries. A new version that was not running at all held its stage for good, with the old one draining beside it (found by reading the gates; shown by a test that kills the new upstream first: 0 of 100 attempts seen, held).

Change: figures count unreachable apart from refused, and the gates as errors; once a stage has baked, three attempts of which most failed are enough.

--- a/src/figures/mod.rs
+++ b/src/figures/mod.rs
@@ -101,6 +101,7 @@
     served: Counter,
     errors: Counter,
     refused: Counter,
+    unreachable: Counter,
     latency: Histogram,
 }
 
@@ -118,7 +119,8 @@
                 self.latency.observe(after.as_secs_f64());
             }
             Outcome::Error | Outcome::Reset => drop(self.errors.inc()),
-            Outcome::Full | Outcome::ConnectFailed => drop(self.refused.inc()),
+            Outcome::Full => drop(self.refused.inc()),
+            Outcome::ConnectFailed => drop(self.unreachable.inc()),
             Outcome::Cancelled | Outcome::Moot => {}
         }
     }
@@ -196,13 +198,14 @@
             served: of("served"),
             errors: of("errors"),
             refused: of("refused"),
+            unreachable: of("unreachable"),
             latency: self.latencies.get_or_create(&labels(&[("upstream", id)])).clone(),
         })
     }
 
     /// This upstream is gone for good.
     pub fn forget(&self, id: &str) {
-        for end in ["served", "errors", "refused"] {
+        for end in ["served", "errors", "refused", "unreachable"] {
             self.attempts.remove(&labels(&[("upstream", id), ("end", end)]));
         }
         self.latencies.remove(&labels(&[("upstream", id)]));
--- a/src/release/controller.rs
+++ b/src/release/controller.rs
@@ -201,7 +201,7 @@
                 self.state.p99 = seen.old.latencies.p99();
                 self.to(Step::Moving);
             }
-            Step::Baking => match judge(&self.gates, seen, self.state.p99) {
+            Step::Baking => match judge(&self.gates, seen, self.state.p99, baked) {
                 Judgement::Broken(why) => self.broken(why),
                 Judgement::Sound(p99) if baked => {
                     self.state.p99 = p99.or(self.state.p99);
--- a/src/release/figures.rs
+++ b/src/release/figures.rs
@@ -116,7 +116,7 @@
                 "refused" => {}
                 _ => {
                     seen.attempts += n;
-                    seen.errors += if end == "errors" { n } else { 0 };
+                    seen.errors += if end == "served" { 0 } else { n };
                 }
             }
         }
--- a/src/release/gates.rs
+++ b/src/release/gates.rs
@@ -74,7 +74,7 @@
 pub struct Seen {
     /// That ended in any way that tells of them.
     pub attempts: u64,
-    /// Of those, that failed.
+    /// Of those, that failed or found nobody there.
     pub errors: u64,
     /// Of those that were served or timed out.
     pub latencies: Latencies,
@@ -104,12 +104,17 @@
     Broken(String),
 }
 
-/// Judges a stage against the p99 of the stage before, in microseconds, where that is known.
-pub fn judge(gates: &Gates, seen: &Observation, before: Option<f64>) -> Judgement {
+/// So few attempts say something once a stage has baked: proxies soon leave an upstream alone that nobody reaches.
+const FEW: u64 = 3;
+
+/// Judges a stage against the p99 of the stage before, in microseconds, where that is known. `baked`: no more is to be
+/// expected.
+pub fn judge(gates: &Gates, seen: &Observation, before: Option<f64>, baked: bool) -> Judgement {
     let share = |part: u64, of: u64| if of == 0 { 0.0 } else { part as f64 / of as f64 };
     let (new, least) = (&seen.new, gates.min_requests);
     let errors = share(new.errors, new.attempts);
-    if new.attempts >= least && errors > gates.error_share {
+    let few = baked && new.attempts >= FEW.min(least) && errors > 0.5;
+    if (new.attempts >= least || few) && errors > gates.error_share {
         return Judgement::Broken(format!(
             "errors: {} of {} attempts ({errors:.3} over {:.3})",
             new.errors, new.attempts, gates.error_share
@@ -156,7 +161,7 @@
     fn errors_refusals_and_latency_break_a_stage_and_too_little_says_nothing() {
         let gates = Gates::default();
         let look = |new: Seen, before| {
-            judge(&gates, &Observation { new, ..Observation::default() }, before)
+            judge(&gates, &Observation { new, ..Observation::default() }, before, false)
         };
         assert!(matches!(look(seen(19, 19, 1), None), Judgement::Unknown(_)));
         assert!(
@@ -169,12 +174,15 @@
         );
         let refusing = Observation { requests: 100, refused: 6, ..Observation::default() };
         assert!(
-            matches!(judge(&gates, &refusing, None), Judgement::Broken(why) if why.contains("refusals"))
+            matches!(judge(&gates, &refusing, None, false), Judgement::Broken(why) if why.contains("refusals"))
         );
+        let gone = Observation { new: seen(4, 4, 1), ..Observation::default() };
+        assert!(matches!(judge(&gates, &gone, None, false), Judgement::Unknown(_)));
+        assert!(matches!(judge(&gates, &gone, None, true), Judgement::Broken(_)));
         // Before the first stage there is only the old version to compare with, in the same window.
         let slower =
             Observation { new: seen(200, 0, 50), old: seen(200, 0, 5), ..Observation::default() };
-        assert!(matches!(judge(&gates, &slower, None), Judgement::Broken(_)));
+        assert!(matches!(judge(&gates, &slower, None, false), Judgement::Broken(_)));
     }
 
     #[test]
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -128,6 +128,11 @@
         status.and_then(|s| s.code())
     }
 
+    /// The index of the process of this name.
+    pub fn named(&self, name: &str) -> usize {
+        self.processes.iter().position(|p| p.name == name).expect("it was started")
+    }
+
     pub fn address(&self, i: usize) -> SocketAddr {
         self.processes[i].address
     }
--- a/tests/releases.rs
+++ b/tests/releases.rs
@@ -209,6 +209,20 @@
     assert!(from.elapsed() < DONE);
 }
 
+#[test]
+fn a_version_that_nobody_reaches_is_halted_once_it_has_baked() {
+    let mut serving = Serving::start(&["--delay-ms", "10"], "");
+    let dead = serving.fleet.named("new-0");
+    serving.fleet.kill(dead);
+    let load = serving.load();
+    let release = serving.release();
+    assert_eq!(serving.fleet.ended(release, DONE), Some(3), "rolled back");
+    assert_eq!(serving.listed("SERVING"), named("old"));
+    let (_, text) = serving.operate("status");
+    assert!(text.contains("rolled back (because: errors"), "{text}");
+    assert_eq!(lost_and_failed(&load.stop()), (0, 0), "none of them ran there: all went elsewhere");
+}
+
 #[test]
 fn a_version_that_is_slow_is_halted_by_the_latency_gate() {
     let mut serving = Serving::start(&["--delay-ms", "60"], "on_failure = \"halt\"");
