--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -100,9 +100,9 @@
     builder
 }
 
-/// Answers calls until the task is dropped. A body over `limit` bytes gets 413 and one that breaks off 400,
-/// without `answer` being asked.
-pub async fn serve<A, F>(listener: TcpListener, limit: usize, answer: A)
+/// Answers calls until the task is dropped. A body over `limit` of its path, in bytes, gets 413 and one that breaks
+/// off 400, without `answer` being asked.
+pub async fn serve<A, F>(listener: TcpListener, limit: fn(&str) -> usize, answer: A)
 where
     A: Fn(Call) -> F + 'static,
     F: Future<Output = Reply> + 'static,
@@ -115,6 +115,7 @@
                 let answer = answer.clone();
                 async move {
                     let (head, body) = request.into_parts();
+                    let limit = limit(head.uri.path());
                     let body = match Limited::new(body, limit).collect().await {
                         Ok(body) => body.to_bytes(),
                         Err(cause) if cause.is::<http_body_util::LengthLimitError>() => {
--- a/src/discovery/management.rs
+++ b/src/discovery/management.rs
@@ -86,7 +86,8 @@
 
     /// Answers calls until the task is dropped.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
-        calls::serve(listener, PEER_BYTES, move |call| self.clone().answer(call)).await;
+        let limit = |path: &str| if path == "/peer/messages" { PEER_BYTES } else { LIMIT };
+        calls::serve(listener, limit, move |call| self.clone().answer(call)).await;
     }
 
     async fn answer(self: Rc<Self>, call: Call) -> Reply {
@@ -97,9 +98,6 @@
                 Err(cause) => error(StatusCode::BAD_REQUEST, cause),
             };
         }
-        if call.body.len() > LIMIT {
-            return error(StatusCode::PAYLOAD_TOO_LARGE, format!("a body over {LIMIT} bytes"));
-        }
         if path == "/admin/members" && call.method == Method::GET {
             let line = self.host.read(|m| m.list().whole().line());
             return calls::text(StatusCode::OK, "application/json", line);
--- a/src/discovery/sweep.rs
+++ b/src/discovery/sweep.rs
@@ -51,11 +51,14 @@
     let duty = Duty::new(instances.clone(), DUTY, holder, ttl);
     let _claim = AbortOnDrop(tokio::task::spawn_local(duty.clone().run()));
     let asked = duty.clone();
-    let _figures =
-        AbortOnDrop(tokio::task::spawn_local(calls::serve(listener, LIMIT, move |call| {
+    let _figures = AbortOnDrop(tokio::task::spawn_local(calls::serve(
+        listener,
+        |_| LIMIT,
+        move |call| {
             let answer = answer(&asked, &call);
             async move { answer }
-        })));
+        },
+    )));
     let (start, mut drains) = (Instant::now(), Drains::default());
     let pace = (after / 4).clamp(Duration::from_millis(20), Duration::from_secs(1));
     loop {
--- a/src/release/control.rs
+++ b/src/release/control.rs
@@ -21,10 +21,14 @@
 
 /// Answers calls until the task is dropped.
 pub async fn serve(listener: TcpListener, release: Rc<Release>) {
-    calls::serve(listener, LIMIT, move |call| {
-        let answer = answer(&release, &call);
-        async move { answer }
-    })
+    calls::serve(
+        listener,
+        |_| LIMIT,
+        move |call| {
+            let answer = answer(&release, &call);
+            async move { answer }
+        },
+    )
     .await;
 }
 
--- a/src/replica/host.rs
+++ b/src/replica/host.rs
@@ -23,6 +23,8 @@
 
 /// How long a write may wait for a majority before its caller is told that nobody knows.
 const DECIDED_WITHIN: Duration = Duration::from_secs(3);
+/// Wait before a snapshot that failed is tried again: the disk is full, and it would only be written in vain.
+const SNAPSHOT_AGAIN: Duration = Duration::from_secs(5);
 /// How long a peer may take to answer before its connection is given up.
 const PEER_WITHIN: Duration = Duration::from_secs(1);
 /// Messages that wait for a peer; what is beyond is dropped, and sent anew by the consensus.
@@ -108,6 +110,7 @@
     start: Instant,
     tick: Duration,
     snapshot_bytes: u64,
+    no_snapshot_before: Cell<Duration>,
     seed: Command,
     /// The term in which this instance has last proposed it.
     seeded_in: Cell<u64>,
@@ -165,6 +168,7 @@
             start: Instant::now(),
             tick: setup.election / ELECTION_TICKS as u32,
             snapshot_bytes: setup.snapshot_bytes,
+            no_snapshot_before: Cell::default(),
             seed: Command::Seed { revision, members },
             seeded_in: Cell::new(0),
             trouble: RefCell::default(),
@@ -267,11 +271,14 @@
     }
 
     fn compact(&self, replica: &mut Replica) {
-        let mut log = self.log.borrow_mut();
-        let Some(log) = log.as_mut().filter(|l| l.length() > self.snapshot_bytes) else { return };
+        let (mut log, now) = (self.log.borrow_mut(), self.now());
+        let due =
+            |l: &&mut Log| l.length() > self.snapshot_bytes && now >= self.no_snapshot_before.get();
+        let Some(log) = log.as_mut().filter(due) else { return };
         let done = replica.compact().map_err(HostError::from);
         if let Err(error) = done.and_then(|whole| Ok(log.compact(&whole)?)) {
             tracing::warn!(%error, "no snapshot");
+            self.no_snapshot_before.set(now + SNAPSHOT_AGAIN);
         }
     }
 
@@ -373,7 +380,10 @@
                 return Err(format!("instance {} is not among the peers", message.from));
             }
             if let Err(cause) = self.replica.borrow_mut().step(message) {
-                tracing::warn!(cause, "a message from a peer is left aside");
+                // Said once already, where it is the disk.
+                if self.trouble.borrow().is_none() {
+                    tracing::warn!(cause, "a message from a peer is left aside");
+                }
             }
         }
         if !data.is_empty() {
--- a/src/roles/mod.rs
+++ b/src/roles/mod.rs
@@ -172,10 +172,16 @@
         let Ok(instances) = Instances::new(args.services) else {
             return until_stopped(serving).await.map(drop);
         };
-        let kept = registration::keep(&instances, &member, ttl);
-        until_stopped(async { tokio::join!(serving, kept) }).await?;
-        registration::leave(&instances, &member, LEAVE_WITHIN).await;
-        Ok(())
+        // It serves until it is out of the list.
+        let listed = async {
+            until_stopped(registration::keep(&instances, &member, ttl)).await?;
+            registration::leave(&instances, &member, LEAVE_WITHIN).await;
+            Ok(())
+        };
+        tokio::select! {
+            () = serving => Ok(()),
+            left = listed => left,
+        }
     })
 }
 
--- a/src/store/log.rs
+++ b/src/store/log.rs
@@ -352,7 +352,13 @@
         let _ = fs::remove_file(&log);
         let file = OpenOptions::new().create(true).append(true).open(&log).map_err(io_at(&log))?;
         file.sync_all().map_err(io_at(&log))?;
-        write_whole(&snapshot_path(&self.dir, base), &data)?;
+        let snapshot = snapshot_path(&self.dir, base);
+        if let Err(error) = write_whole(&snapshot, &data) {
+            // Where it stands all the same, the next start begins from it, and what is appended to the old log
+            // from here on would not be read.
+            self.poisoned = snapshot.exists();
+            return Err(error);
+        }
         let before = self.base;
         (self.file, self.path, self.base, self.length) = (file, log, base, 0);
         for old in generations(&self.dir)?.into_iter().filter(|g| *g < before) {
