Tests: a port is handed out once

Change: ports come from a range below the system's own, counted up from a place that differs by process, and are tried first.

--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -51,10 +51,23 @@
 /// A fleet's number among those of this test program.
 static FLEETS: AtomicUsize = AtomicUsize::new(0);
 
-/// An address on loopback that nobody has now.
+/// Ports handed out by [`free`] lie below those that the system gives to outgoing connections and to port 0, or one
+/// of these could take one before its process listens there.
+const PORTS: std::ops::Range<u32> = 20_000..32_000;
+static HANDED_OUT: AtomicUsize = AtomicUsize::new(0);
+
+/// An address on loopback that nobody has now, and that this program hands out once.
 pub fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("bound")
+    // Programs that run side by side begin at different ports.
+    let first = std::process::id().wrapping_mul(131);
+    loop {
+        let next = first.wrapping_add(HANDED_OUT.fetch_add(1, Ordering::Relaxed) as u32);
+        let port = PORTS.start + next % (PORTS.end - PORTS.start);
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// Waits until `holds`, and says how long that took.
