List server and roles: call the shared answers and the one bind

Change: server.rs calls calls::error, say and text; bind serves both addresses; the unused method is gone. Answers and log lines are as they were.

The proxy is not touched.

--- a/src/discovery/server.rs
+++ b/src/discovery/server.rs
@@ -104,10 +104,10 @@
     async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Result<Answer, Infallible> {
         let (head, body) = request.into_parts();
         if Limited::new(body, LIMIT).collect().await.is_err() {
-            return Ok(say(StatusCode::PAYLOAD_TOO_LARGE, "a body over 64 KiB"));
+            return Ok(error(StatusCode::PAYLOAD_TOO_LARGE, "a body over 64 KiB"));
         }
         if head.method != Method::GET {
-            return Ok(say(StatusCode::METHOD_NOT_ALLOWED, "only GET"));
+            return Ok(error(StatusCode::METHOD_NOT_ALLOWED, "only GET"));
         }
         match head.uri.path() {
             "/api/targets" => {}
@@ -115,19 +115,19 @@
                 let (ready, revision) =
                     (self.host.ready(), self.host.read(|m| m.list().revision()));
                 let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-                let text = format!("{{\"ready\":{ready},\"revision\":{revision}}}\n");
-                return Ok(json(status, text));
+                let said = serde_json::json!({"ready": ready, "revision": revision});
+                return Ok(calls::say(status, &said).map(Either::Left));
             }
-            _ => return Ok(say(StatusCode::NOT_FOUND, "no such path")),
+            _ => return Ok(error(StatusCode::NOT_FOUND, "no such path")),
         }
         if !self.host.ready() {
-            return Ok(say(StatusCode::SERVICE_UNAVAILABLE, "no list yet"));
+            return Ok(error(StatusCode::SERVICE_UNAVAILABLE, "no list yet"));
         }
         match Query::parse(head.uri.query().unwrap_or("")) {
-            Err(cause) => Ok(say(StatusCode::BAD_REQUEST, cause)),
+            Err(cause) => Ok(error(StatusCode::BAD_REQUEST, cause)),
             Ok(Query { stream: false, .. }) => {
                 let line = self.host.read(|m| m.list().whole().line());
-                Ok(json_bytes(StatusCode::OK, line))
+                Ok(calls::text(StatusCode::OK, "application/json", line).map(Either::Left))
             }
             Ok(Query { stream: true, index }) => Ok(self.watch(index)),
         }
@@ -208,19 +208,8 @@
     }
 }
 
-fn json_bytes(status: StatusCode, body: Vec<u8>) -> Answer {
-    let mut answer = Response::new(Either::Left(Full::from(body)));
-    *answer.status_mut() = status;
-    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    answer
-}
-
-fn json(status: StatusCode, body: String) -> Answer {
-    json_bytes(status, body.into_bytes())
-}
-
-fn say(status: StatusCode, error: &str) -> Answer {
-    json(status, format!("{}\n", serde_json::json!({ "error": error })))
+fn error(status: StatusCode, cause: &str) -> Answer {
+    calls::error(status, cause).map(Either::Left)
 }
 
 #[cfg(test)]
--- a/src/lease/expiry.rs
+++ b/src/lease/expiry.rs
@@ -28,11 +28,6 @@
         self.due.remove(key);
     }
 
-    /// Whether the key is watched.
-    pub fn watches(&self, key: &K) -> bool {
-        self.due.contains_key(key)
-    }
-
     /// The keys whose TTL has passed by `now`. Each is told again `again` later, should it still be watched:
     /// what was proposed of it may have been lost.
     pub fn lapsed(&mut self, now: Duration, again: Duration) -> Vec<K> {
--- a/src/roles/mod.rs
+++ b/src/roles/mod.rs
@@ -70,11 +70,17 @@
     Refused(String),
 }
 
-/// Binds `address` and logs `listening on ADDRESS`: the address bound, which tells the port where 0 was asked for.
-async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), RoleError> {
+/// Binds `address`; the address bound tells the port where 0 was asked for.
+async fn bind(address: SocketAddr) -> Result<(TcpListener, SocketAddr), RoleError> {
     let refused = |source| RoleError::Listen { address, source };
     let listener = TcpListener::bind(address).await.map_err(refused)?;
     let bound = listener.local_addr().map_err(refused)?;
+    Ok((listener, bound))
+}
+
+/// [`bind`], and logs `listening on ADDRESS`.
+async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), RoleError> {
+    let (listener, bound) = bind(address).await?;
     tracing::info!("listening on {bound}");
     Ok((listener, bound))
 }
@@ -128,9 +134,7 @@
         let service = ListService::new(host.clone(), Duration::from_millis(config.heartbeat_ms));
         let _management = match config.management {
             Some(address) => {
-                let refused = |source| RoleError::Listen { address, source };
-                let listener = TcpListener::bind(address).await.map_err(refused)?;
-                let bound = listener.local_addr().map_err(refused)?;
+                let (listener, bound) = bind(address).await?;
                 tracing::info!("operators call at {bound}");
                 let management = Management::new(host.clone(), service.clone());
                 Some(AbortOnDrop(tokio::task::spawn_local(management.serve(listener))))
