--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -499,10 +499,9 @@
         self.watch_serial += 1;
         let (Some(address), revision) = self.follow.target() else { return };
         let (serial, notes) = (self.watch_serial, self.own_notes.clone());
-        let beats = self.must_ask || self.follow.beats();
         self.watch = Some(AbortOnDrop(tokio::task::spawn_local(async move {
             let told = |list| drop(notes.send(Note::Listed { serial, list }));
-            client::watch(address, revision, beats, told).await;
+            client::watch(address, revision, told).await;
             let _ = notes.send(Note::WatchEnded { serial });
         })));
     }
--- a/src/discovery/client.rs
+++ b/src/discovery/client.rs
@@ -43,10 +43,10 @@
     Request(#[from] hyper::http::Error),
 }
 
-/// Watches at `address` from `revision` on and hands each message to `told`, until the watch ends; what ended it is
-/// logged. With `beats`, a watch that is silent for too long ends too. Runs inside a `LocalSet`.
-pub async fn watch(address: SocketAddr, revision: u64, beats: bool, told: impl Fn(Message)) {
-    if let Err(cause) = follow(address, revision, beats, told).await {
+/// Watches at `address` from `revision` on and hands each message to `told`, until the watch ends or is silent for
+/// too long; what ended it is logged. Runs inside a `LocalSet`.
+pub async fn watch(address: SocketAddr, revision: u64, told: impl Fn(Message)) {
+    if let Err(cause) = follow(address, revision, told).await {
         tracing::info!(%cause, %address, revision, "watch over");
     }
 }
@@ -54,7 +54,6 @@
 async fn follow(
     address: SocketAddr,
     revision: u64,
-    beats: bool,
     told: impl Fn(Message),
 ) -> Result<(), WatchError> {
     let stream = timeout(CALL, TcpStream::connect(address)).await??;
@@ -74,12 +73,7 @@
     let mut body = response.into_body();
     let mut lines = BytesMut::new();
     loop {
-        let frame = if beats {
-            timeout(SILENCE, body.frame()).await?
-        } else {
-            body.frame().await // An agent is silent while discovery is down.
-        };
-        let frame = frame.ok_or(WatchError::Ended)??;
+        let frame = timeout(SILENCE, body.frame()).await?.ok_or(WatchError::Ended)??;
         let Ok(data) = frame.into_data() else { continue };
         lines.extend_from_slice(&data);
         // A line may come in pieces, and several may come at once.
--- a/src/discovery/follow.rs
+++ b/src/discovery/follow.rs
@@ -54,12 +54,6 @@
         (self.addresses.get(self.at).copied(), self.revision)
     }
 
-    /// Whether a watch that is silent for too long is given up. The instances of a list service give a sign of life
-    /// every 2 s (PROTOCOL), and there are others; the one agent on this machine is silent while discovery is down.
-    pub fn beats(&self) -> bool {
-        self.addresses.len() > 1
-    }
-
     /// The revision held.
     pub fn revision(&self) -> u64 {
         self.revision
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -250,16 +250,23 @@
 }
 
 #[test]
-fn a_silent_watch_is_given_up() {
+fn a_silent_watch_is_given_up_whether_lists_are_pushed_or_asked_for() {
     let upstream = Upstream::start(|_| ok("ok"));
-    let node = Node::start(&config(members(&[&upstream])));
-    let (_, mut first) = node.discovery.watch();
-    // With a first word the module takes the watch as standing, and will not ask again by itself.
-    let list = json!({"revision": 42, "complete": false, "members": []});
-    chunk(&mut first, &format!("{list}\n\n"));
-    // Held open and silent, as by a machine that was cut off.
-    let (_, second) = node.discovery.watch();
-    drop((first, second));
+    for mode in ["subscribe", "automatic"] {
+        let mut config = config(members(&[&upstream]));
+        config["settings"]["RegistryMode"] = json!(mode);
+        let node = Node::start(&config);
+        let (_, mut first) = node.discovery.watch();
+        // With a first word the module takes the watch as standing, and will not ask again by itself.
+        let list = json!({"revision": 42, "complete": false, "members": []});
+        chunk(&mut first, &format!("{list}\n\n"));
+        let from = Instant::now();
+        // Held open and silent, as by a machine that was cut off.
+        let (_, second) = node.discovery.watch();
+        let silent = from.elapsed();
+        assert!(silent > Duration::from_secs(2), "{mode}: it would have had a heartbeat by then");
+        drop((first, second));
+    }
 }
 
 /// An upstream that takes long enough for two requests to be out at once.
