An attempt that still waits for its connection is not sent once its upstream drains

Change: an upstream is closed to such attempts when the news are heard. They end as moot, which never ran: the module sends them elsewhere, a POST too. The margin of 100 ms that stood for this goes.

--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -32,8 +32,6 @@
 const HEADROOM: Duration = Duration::from_millis(15);
 /// At this much less the engine answers itself, should the module still owe one.
 const BACKSTOP: Duration = Duration::from_millis(5);
-/// Sends to an upstream that drains end this much before the grace does.
-const DRAIN_MARGIN: Duration = Duration::from_millis(100);
 
 /// What the engine is told.
 pub enum Note {
@@ -253,7 +251,6 @@
         let ready = Rc::new(Cell::new(false));
         let handle = Handle { notes: own_notes.clone(), next: Rc::default(), ready: ready.clone() };
         let (must_ask, second_copies) = (settings.must_ask, settings.limits.second_copies);
-        let grace = Duration::from_micros(settings.rules.drain_grace.0.max(0) as u64);
         let max_attempts = settings.limits.max_attempts;
         let mut engine = Self {
             balancer: Balancer::new(settings, config.seed, clock.now())?,
@@ -265,7 +262,7 @@
             actions: Vec::new(),
             later: VecDeque::new(),
             pool,
-            upstreams: Upstreams::new(config, grace.saturating_sub(DRAIN_MARGIN)),
+            upstreams: Upstreams::new(config),
             ready,
             follow: Follow::new(config.discovery.clone()),
             figures,
@@ -591,18 +588,16 @@
     figures: Vec<Option<figures::Upstream>>,
     zones: Vec<String>,
     kinds: Vec<String>,
-    grace: Duration,
 }
 
 impl Upstreams {
-    fn new(config: &Config, grace: Duration) -> Self {
+    fn new(config: &Config) -> Self {
         Self {
             ids: FxHashMap::default(),
             targets: Vec::new(),
             figures: Vec::new(),
             zones: config.facts.zones.clone(),
             kinds: config.facts.machine_types.clone(),
-            grace,
         }
     }
 
@@ -615,7 +610,7 @@
     }
 
     fn any_open(&self) -> bool {
-        self.targets.iter().any(|t| t.closed_from.get().is_none())
+        self.targets.iter().any(|t| !t.closed.get())
     }
 
     /// Takes in a list and puts it into the module's words.
@@ -626,15 +621,13 @@
         pool: &Pool,
         figures: &Figures,
     ) -> Vec<d::Member> {
-        let closed_from = Instant::now() + self.grace;
-        let close = |t: &Target| t.closed_from.set(t.closed_from.get().or(Some(closed_from)));
         if kind != ListKind::Update {
             // What a whole list leaves out is gone.
             let named: Vec<&str> = list.members.iter().map(|m| m.id.as_str()).collect();
             let named: rustc_hash::FxHashSet<&str> = named.into_iter().collect();
             for (name, id) in &self.ids {
                 if !named.contains(name.as_str()) {
-                    close(&self.targets[id.0 as usize]);
+                    self.targets[id.0 as usize].closed.set(true);
                     if self.figures[id.0 as usize].take().is_some() {
                         figures.forget(name);
                     }
@@ -655,8 +648,8 @@
                 pool.close_idle(id);
             }
             match entry.phase {
-                Phase::Serving => target.closed_from.set(None),
-                Phase::Draining | Phase::Deleted | Phase::Unknown => close(target),
+                Phase::Serving => target.closed.set(false),
+                Phase::Draining | Phase::Deleted | Phase::Unknown => target.closed.set(true),
             }
             let counted = &mut self.figures[id.0 as usize];
             if entry.phase == Phase::Deleted {
@@ -677,8 +670,8 @@
         self.figures.push(None);
         let id = ServerId(self.targets.len() as u32);
         self.ids.insert(entry.id.clone(), id);
-        let (address, closed_from) = (Cell::new(address), Cell::new(None));
-        self.targets.push(Rc::new(Target { address, closed_from }));
+        self.targets
+            .push(Rc::new(Target { address: Cell::new(address), closed: Cell::new(false) }));
         id
     }
 
--- a/src/bin/hollowpaddle/upstreams.rs
+++ b/src/bin/hollowpaddle/upstreams.rs
@@ -80,8 +80,9 @@
 #[derive(Debug)]
 pub struct Target {
     pub address: Cell<SocketAddr>,
-    /// When sends must have ended, since it drains or is gone.
-    pub closed_from: Cell<Option<Instant>>,
+    /// It drains or is gone. At once, and not with the grace of a drain: that began when discovery had the news,
+    /// which may be earlier than they were heard here.
+    pub closed: Cell<bool>,
 }
 
 /// Bytes handed to the kernel on a connection. What was not handed over cannot have run.
@@ -359,9 +360,8 @@
                 None => self.connect(address).await,
             };
             let Some(mut link) = link else { return Ended::bare(Outcome::ConnectFailed) };
-            // The wait for a connection may outlast the request, or the grace of a drain.
-            let closed = target.closed_from.get().is_some_and(|from| Instant::now() >= from);
-            if closed || !live() {
+            // The wait for a connection may outlast the request, or the upstream's service.
+            if target.closed.get() || !live() {
                 self.put(server, link);
                 return Ended::bare(Outcome::Moot);
             }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -357,7 +357,7 @@
 }
 
 #[test]
-fn what_waited_for_its_connection_past_the_grace_of_a_drain_is_not_sent() {
+fn what_waited_for_its_connection_when_its_upstream_drains_is_not_sent() {
     // A full backlog: connections to it come up only once there is room again.
     let full = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
     let full = full.expect("a socket");
@@ -371,6 +371,8 @@
 
     let mut config = config(vec![member("s-0", address, "SERVING")]);
     config["settings"]["PolicyLimits"]["ConnectTimeout"] = json!(20_000.0);
+    // Not even within the grace: it may have begun before the news came here.
+    config["settings"]["Safety"]["DrainGrace"] = json!(10_000.0);
     config["settings"]["Services"][2]["Aim"] = json!(25_000.0);
     config["settings"]["Services"][2]["Deadline"] = json!(30_000.0);
     let node = Node::start(&config);
@@ -381,7 +383,7 @@
     let list = json!({"revision": 42, "complete": false,
         "members": [member("s-0", address, "DRAINING")]});
     chunk(&mut watch, &format!("{list}\n"));
-    std::thread::sleep(Duration::from_millis(1500)); // Past the grace of 500 ms.
+    std::thread::sleep(Duration::from_millis(200)); // It is heard.
     let (tell, seen) = channel();
     std::thread::spawn(move || {
         for stream in full.incoming() {
