Calls beside a silent watch, paced by the grace, until one of them speaks

A reset watch was opened anew only after 0.5 s, half of the grace.

Change: Follow has the one clock. A watch silent for 3.5 s gets a second call beside it, and another every quarter of the grace (Safety.DrainGrace, at most 0.5 s), eight at most; whoever speaks first is kept. A watch that ends is opened anew at once, no faster than that pace. Instances of a list service are still gone through with growing waits. Where lists are asked for the module says when to call, as before. The driver and its decisions left the engine for the library, so the binary has one timer and three fields less. Each trouble is logged once until a watch speaks.

Measured: tests/list_client.rs plays an agent in memory on paused time; with the silence, the calls beside, the pace, the call at once or the eight taken out it fails.

--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -8,8 +8,8 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use hollowpaddle::discovery::client;
-use hollowpaddle::discovery::follow::{Follow, Verdict};
+use hollowpaddle::discovery::client::{self, News, Order};
+use hollowpaddle::discovery::follow::{Follow, Mode};
 use hollowpaddle::discovery::keeper::Keeper;
 use hollowpaddle::discovery::member::{Member as Entry, Message as List, Phase};
 use hollowpaddle::figures::{self, Figures};
@@ -49,13 +49,7 @@
         attempt: usize,
         ended: Ended,
     },
-    Listed {
-        serial: u64,
-        list: List,
-    },
-    WatchEnded {
-        serial: u64,
-    },
+    Listed(News),
     DiscoveryMoved(Vec<SocketAddr>),
     /// How many upstreams the list names, and how many of them the module avoids.
     Pool(oneshot::Sender<(usize, usize)>),
@@ -184,7 +178,6 @@
 enum Due {
     Token(u64),
     Deadline(RequestId),
-    Watch,
 }
 
 /// An event of the engine's own making, told once the present actions are carried out.
@@ -202,12 +195,11 @@
     pool: Rc<Pool>,
     upstreams: Upstreams,
     ready: Rc<Cell<bool>>,
-    follow: Follow,
     figures: Rc<Figures>,
     keeper: Option<Keeper>,
-    watch: Option<AbortOnDrop>,
-    watch_serial: u64,
-    must_ask: bool,
+    /// To the client of the list.
+    orders: mpsc::UnboundedSender<Order>,
+    _client: AbortOnDrop,
     second_copies: bool,
     max_attempts: usize,
 }
@@ -250,8 +242,17 @@
         let (own_notes, notes) = mpsc::unbounded_channel();
         let ready = Rc::new(Cell::new(false));
         let handle = Handle { notes: own_notes.clone(), next: Rc::default(), ready: ready.clone() };
-        let (must_ask, second_copies) = (settings.must_ask, settings.limits.second_copies);
+        let second_copies = settings.limits.second_copies;
         let max_attempts = settings.limits.max_attempts;
+        let kept = keeper.as_ref().map(Keeper::list).filter(|l| l.revision > config.known.revision);
+        let known = kept.unwrap_or(&config.known).clone();
+        let grace = Duration::from_micros(settings.rules.drain_grace.0.max(0) as u64);
+        let mode = if settings.must_ask { Mode::Asked } else { Mode::Pushed { grace } };
+        let follow = Follow::new(config.discovery.clone(), mode, known.revision, Instant::now());
+        let (orders, ordered) = mpsc::unbounded_channel();
+        let notes_of_list = own_notes.clone();
+        let told = move |news| drop(notes_of_list.send(Note::Listed(news)));
+        let client = client::run(follow, client::connect, ordered, told);
         let mut engine = Self {
             balancer: Balancer::new(settings, config.seed, clock.now())?,
             clock,
@@ -264,23 +265,14 @@
             pool,
             upstreams: Upstreams::new(config),
             ready,
-            follow: Follow::new(config.discovery.clone()),
             figures,
-            keeper: None,
-            watch: None,
-            watch_serial: 0,
-            must_ask,
+            keeper,
+            orders,
+            _client: AbortOnDrop(tokio::task::spawn_local(client)),
             second_copies,
             max_attempts,
         };
-        let kept = keeper.as_ref().map(Keeper::list).filter(|l| l.revision > config.known.revision);
-        let known = kept.unwrap_or(&config.known);
-        engine.follow.held(known.revision);
-        engine.listed(known, ListKind::Restored);
-        engine.keeper = keeper;
-        if !must_ask {
-            engine.subscribe();
-        }
+        engine.listed(&known, ListKind::Restored);
         Ok((engine, handle))
     }
 
@@ -314,7 +306,6 @@
             match due {
                 Due::Token(token) => self.tell(Event::Timer(token)),
                 Due::Deadline(id) => self.overdue(id),
-                Due::Watch => self.subscribe(),
             }
         }
     }
@@ -338,37 +329,27 @@
                 self.catch_up();
             }
             // At once: the old address soon ends its watch, and what is missed meanwhile counts as told.
-            Note::DiscoveryMoved(addresses) => {
-                self.follow.moved(addresses);
-                self.subscribe();
-            }
+            Note::DiscoveryMoved(addresses) => self.order(Order::Moved(addresses)),
             Note::Pool(reply) => {
                 let _ = reply.send(self.balancer.pool(self.clock.now()));
             }
-            Note::Listed { serial, list } => {
-                if serial != self.watch_serial {
-                    return;
-                }
-                if self.follow.told(list.revision) == Verdict::Older {
-                    let held = self.follow.revision();
-                    tracing::warn!(held, told = list.revision, "an older list is left aside");
-                    self.watch_ended();
-                    return;
-                }
-                let whole = list.complete;
-                self.listed(&list, if whole { ListKind::Whole } else { ListKind::Update });
+            Note::Listed(News::Told(list)) => {
+                self.listed(&list, if list.complete { ListKind::Whole } else { ListKind::Update });
                 if let Some(keeper) = &mut self.keeper {
                     keeper.keep(&list);
                 }
             }
-            Note::WatchEnded { serial } => {
-                if serial == self.watch_serial {
-                    self.watch_ended();
-                }
+            Note::Listed(News::Lost) => {
+                self.tell(Event::Members { kind: ListKind::Unavailable, list: &[] });
             }
         }
     }
 
+    fn order(&self, order: Order) {
+        // Its client lives as long as the engine.
+        let _ = self.orders.send(order);
+    }
+
     fn arrived(
         &mut self,
         id: RequestId,
@@ -473,36 +454,12 @@
         }
     }
 
-    /// The list that is held stands; when to watch again is decided by the module where it must ask, and by
-    /// [`Follow`] where it is pushed.
-    fn watch_ended(&mut self) {
-        self.watch = None;
-        self.watch_serial += 1;
-        let wait = self.follow.ended();
-        if self.must_ask {
-            self.tell(Event::Members { kind: ListKind::Unavailable, list: &[] });
-        } else {
-            self.timers.push(Reverse((Instant::now() + wait, Due::Watch)));
-        }
-    }
-
     fn listed(&mut self, list: &List, kind: ListKind) {
         let members = self.upstreams.update(list, kind, &self.pool, &self.figures);
         self.ready.set(self.upstreams.any_open());
         self.tell(Event::Members { kind, list: &members });
     }
 
-    fn subscribe(&mut self) {
-        self.watch_serial += 1;
-        let (Some(address), revision) = self.follow.target() else { return };
-        let (serial, notes) = (self.watch_serial, self.own_notes.clone());
-        self.watch = Some(AbortOnDrop(tokio::task::spawn_local(async move {
-            let told = |list| drop(notes.send(Note::Listed { serial, list }));
-            client::watch(address, revision, told).await;
-            let _ = notes.send(Note::WatchEnded { serial });
-        })));
-    }
-
     /// Tells the module, and carries out what it says until nothing is left to tell.
     fn tell(&mut self, event: Event) {
         self.handle(event);
@@ -547,7 +504,7 @@
                 self.timers.push(Reverse((self.clock.instant(at), Due::Token(token))));
             }
             Action::CloseIdle { server } => self.pool.close_idle(server),
-            Action::Subscribe => self.subscribe(),
+            Action::Subscribe => self.order(Order::Ask),
             // Upstreams here take no probes, and the module sends none where that is so.
             Action::Probe { .. } => {}
         }
--- a/src/discovery/client.rs
+++ b/src/discovery/client.rs
@@ -1,28 +1,50 @@
-//! One watch on the list, for as long as it lasts (PROTOCOL, "Discovery").
+//! The client of the list: makes the calls that [`Follow`] decides on, and hands on what is told.
+//!
+//! One task for as long as the client lives, and one for each call (PROTOCOL, "Discovery"). Runs inside a
+//! `LocalSet`.
 
+use std::future::Future;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty};
 use hyper::Request;
 use hyper::header::HOST;
 use hyper_util::rt::TokioIo;
+use rustc_hash::FxHashMap;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until};
 
+use super::follow::{Follow, Step, Verdict};
 use super::member::Message;
 use crate::tasks::AbortOnDrop;
 
-/// A watch says something every 2 s; without a word for this long it is dead, though nothing told so (a
-/// machine that is cut off sends no reset). News counts as told after 6 s, heard or not: the next call must
-/// fit in before that.
-const SILENCE: Duration = Duration::from_millis(3500);
-/// A call that waits for its turn longer than this has failed.
-const CALL: Duration = Duration::from_millis(3000);
 /// No line of a list is longer than this; more is not discovery.
 const LONGEST_LINE: usize = 4 << 20;
 
+/// The trouble that no call tells of.
+const SILENT: &str = "silence";
+
+/// What the client is told by its owner.
+#[derive(Debug)]
+pub enum Order {
+    /// Call now, where lists are asked for.
+    Ask,
+    /// The list is to be had from these addresses from now on.
+    Moved(Vec<SocketAddr>),
+}
+
+/// What the client tells.
+#[derive(Debug)]
+pub enum News {
+    /// The list changed; never older than what was told before, unless discovery has moved.
+    Told(Message),
+    /// Nothing is watched; told where lists are asked for.
+    Lost,
+}
+
 #[derive(Debug, thiserror::Error)]
 enum WatchError {
     #[error("connect: {0}")]
@@ -31,8 +53,6 @@
     Http(#[from] hyper::Error),
     #[error("answered {0}")]
     Status(hyper::StatusCode),
-    #[error("silent for too long")]
-    Silent(#[from] tokio::time::error::Elapsed),
     #[error("a line that is no list: {0}")]
     Malformed(#[from] serde_json::Error),
     #[error("a line without end")]
@@ -43,49 +63,152 @@
     Request(#[from] hyper::http::Error),
 }
 
-/// Watches at `address` from `revision` on and hands each message to `told`, until the watch ends or is silent for
-/// too long; what ended it is logged. Runs inside a `LocalSet`.
-pub async fn watch(address: SocketAddr, revision: u64, told: impl Fn(Message)) {
-    if let Err(cause) = follow(address, revision, told).await {
-        tracing::info!(%cause, %address, revision, "watch over");
+/// What a call's task says.
+enum Word {
+    Answered,
+    Spoke,
+    Told(Message),
+    Ended(WatchError),
+}
+
+/// Connects by TCP.
+///
+/// # Errors
+/// As the system says.
+pub async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+/// Follows the list until `orders` is closed. `connect` opens a connection, [`connect`] in service.
+pub async fn run<C, F, S>(
+    mut follow: Follow,
+    connect: C,
+    mut orders: mpsc::UnboundedReceiver<Order>,
+    tell: impl Fn(News),
+) where
+    C: Fn(SocketAddr) -> F,
+    F: Future<Output = std::io::Result<S>> + 'static,
+    S: AsyncRead + AsyncWrite + Unpin + 'static,
+{
+    let (say, mut words) = mpsc::unbounded_channel();
+    let mut calls: FxHashMap<u64, AbortOnDrop> = FxHashMap::default();
+    // Each cause is logged once until a watch speaks: a call that fails is soon made again.
+    let mut trouble = String::new();
+    loop {
+        for step in follow.steps() {
+            match step {
+                Step::Call { serial, address, index } => {
+                    let (stream, say) = (connect(address), say.clone());
+                    let call = tokio::task::spawn_local(async move {
+                        let word = |word| drop(say.send((serial, address, word)));
+                        if let Err(cause) = watch(stream, address, index, word).await {
+                            word(Word::Ended(cause));
+                        }
+                    });
+                    calls.insert(serial, AbortOnDrop(call));
+                }
+                Step::Drop(serial) => drop(calls.remove(&serial)),
+                Step::Lost => tell(News::Lost),
+            }
+        }
+        let due = async {
+            match follow.due() {
+                Some(due) => sleep_until(due).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            order = orders.recv() => match order {
+                Some(Order::Ask) => follow.ask(Instant::now()),
+                Some(Order::Moved(addresses)) => follow.moved(addresses, Instant::now()),
+                None => return,
+            },
+            word = words.recv() => {
+                // We hold a sender of it ourselves.
+                let Some((serial, address, word)) = word else { return };
+                let now = Instant::now();
+                match word {
+                    Word::Answered => follow.answered(serial, now),
+                    Word::Spoke => {
+                        if follow.spoke(serial, now) && !trouble.is_empty() {
+                            tracing::info!(%address, after = trouble, "the list is watched again");
+                            trouble.clear();
+                        }
+                    }
+                    Word::Told(list) => {
+                        let (held, told) = (follow.revision(), list.revision);
+                        match follow.told(serial, told, now) {
+                            Verdict::Take => tell(News::Told(list)),
+                            Verdict::Older => {
+                                tracing::warn!(%address, held, told, "an older list is left aside");
+                            }
+                            Verdict::Nobody => {}
+                        }
+                    }
+                    Word::Ended(cause) => {
+                        calls.remove(&serial);
+                        follow.ended(serial, now);
+                        let cause = cause.to_string();
+                        if trouble != cause {
+                            let revision = follow.revision();
+                            tracing::info!(cause, %address, revision, "watch over");
+                            trouble = cause;
+                        }
+                    }
+                }
+            }
+            () = due => {
+                if !calls.is_empty() && trouble != SILENT {
+                    tracing::info!(revision = follow.revision(), "the list is silent");
+                    trouble = SILENT.to_owned();
+                }
+                follow.pass(Instant::now());
+            }
+        }
     }
 }
 
-async fn follow(
+/// One call, and the watch that it becomes, for as long as it lasts.
+async fn watch<S>(
+    connecting: impl Future<Output = std::io::Result<S>>,
     address: SocketAddr,
-    revision: u64,
-    told: impl Fn(Message),
-) -> Result<(), WatchError> {
-    let stream = timeout(CALL, TcpStream::connect(address)).await??;
-    stream.set_nodelay(true)?;
-    let (mut sender, connection) =
-        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+    index: u64,
+    say: impl Fn(Word),
+) -> Result<(), WatchError>
+where
+    S: AsyncRead + AsyncWrite + Unpin + 'static,
+{
+    let stream = TokioIo::new(connecting.await?);
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(stream).await?;
     let _connection = AbortOnDrop(tokio::task::spawn_local(async move {
         let _ = connection.await;
     }));
-    let request = Request::get(format!("/api/targets?stream=1&index={revision}"))
+    let request = Request::get(format!("/api/targets?stream=1&index={index}"))
         .header(HOST, address.to_string())
         .body(Empty::<Bytes>::new())?;
-    let response = timeout(CALL, sender.send_request(request)).await??;
+    let response = sender.send_request(request).await?;
     if !response.status().is_success() {
         return Err(WatchError::Status(response.status()));
     }
+    say(Word::Answered);
     let mut body = response.into_body();
     let mut lines = BytesMut::new();
     loop {
-        let frame = timeout(SILENCE, body.frame()).await?.ok_or(WatchError::Ended)??;
+        let frame = body.frame().await.ok_or(WatchError::Ended)??;
         let Ok(data) = frame.into_data() else { continue };
         lines.extend_from_slice(&data);
         // A line may come in pieces, and several may come at once.
         while let Some(end) = lines.iter().position(|b| *b == b'\n') {
             let line = lines.split_to(end + 1);
-            if line.trim_ascii().is_empty() {
-                continue; // A heartbeat.
+            if !line.trim_ascii().is_empty() {
+                say(Word::Told(serde_json::from_slice(&line)?));
             }
-            told(serde_json::from_slice(&line)?);
         }
         if lines.len() > LONGEST_LINE {
             return Err(WatchError::Endless);
         }
+        say(Word::Spoke);
     }
 }
--- /dev/null
+++ b/tests/list_client.rs
@@ -0,0 +1,361 @@
+//! The client of the list against an agent in memory, on paused time: every way in which news may be with the agent,
+//! or count as told, and not with the proxy. Nothing here waits in real time.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hollowpaddle::discovery::client::{self, News, Order};
+use hollowpaddle::discovery::follow::{Follow, Mode};
+use hollowpaddle::discovery::member::{Message, Phase};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex};
+use tokio::sync::{mpsc, watch};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+const GRACE: Duration = Duration::from_secs(1);
+const PUSHED: Mode = Mode::Pushed { grace: GRACE };
+
+/// How news are laid out on the wire.
+#[derive(Clone, Copy, PartialEq)]
+enum Layout {
+    Line,
+    /// A byte at a time.
+    Cut,
+}
+
+/// What happens at the agent.
+#[derive(Clone, Copy, PartialEq)]
+enum Do {
+    /// The list gets its next revision, in which `s-1` drains.
+    Change,
+    /// Watches that are open now never say another word.
+    Silence,
+    /// Watches that are open now end.
+    Reset,
+    /// It says nothing to anybody, and learns nothing.
+    Down,
+    /// It is back; calls that hang are answered now, or never.
+    Up { hung_too: bool },
+    /// Connections are refused.
+    Refuse,
+    /// Connections never come up.
+    Stall,
+    /// Connections come up, but only after 0.6 s.
+    Late,
+    /// Connections come up again.
+    Accept,
+    /// The client is told that discovery has moved.
+    Move,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Door {
+    Open,
+    Refused,
+    Stalled,
+    Late,
+}
+
+struct Agent {
+    revision: watch::Sender<u64>,
+    up: watch::Sender<bool>,
+    /// Raised when open watches fall silent, and when they end.
+    silenced: watch::Sender<u32>,
+    reset: watch::Sender<u32>,
+    answers_hung: Cell<bool>,
+    door: Cell<Door>,
+    layout: Layout,
+    /// When each call came, and from which index.
+    calls: RefCell<Vec<(Instant, u64)>>,
+}
+
+impl Agent {
+    fn new(layout: Layout) -> Rc<Self> {
+        Rc::new(Self {
+            revision: watch::Sender::new(41),
+            up: watch::Sender::new(true),
+            silenced: watch::Sender::new(0),
+            reset: watch::Sender::new(0),
+            answers_hung: Cell::new(false),
+            door: Cell::new(Door::Open),
+            layout,
+            calls: RefCell::default(),
+        })
+    }
+
+    fn news(&self, revision: u64, whole: bool) -> String {
+        let phase = if revision > 41 { "DRAINING" } else { "SERVING" };
+        let entry = serde_json::json!({"id": "s-1", "host_port": "10.0.0.1:80", "phase": phase});
+        let list = serde_json::json!({"revision": revision, "complete": whole, "members": [entry]});
+        format!("{list}\n")
+    }
+
+    async fn write(&self, stream: &mut DuplexStream, text: &str) -> std::io::Result<()> {
+        let piece = if self.layout == Layout::Cut { 1 } else { text.len() };
+        for piece in text.as_bytes().chunks(piece) {
+            let mut framed = format!("{:x}\r\n", piece.len()).into_bytes();
+            framed.extend_from_slice(piece);
+            framed.extend_from_slice(b"\r\n");
+            stream.write_all(&framed).await?;
+        }
+        Ok(())
+    }
+
+    /// One connection, for as long as it lasts.
+    async fn converse(self: Rc<Self>, mut stream: DuplexStream) -> std::io::Result<()> {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            head.push(stream.read_u8().await?);
+        }
+        let head = String::from_utf8(head).expect("UTF-8");
+        let index = head.split(['=', ' ', '&']).nth(4).and_then(|n| n.parse().ok());
+        let index = index.unwrap_or_else(|| panic!("no index in {head:?}"));
+        self.calls.borrow_mut().push((Instant::now(), index));
+        let (mut silenced, mut reset) = (self.silenced.subscribe(), self.reset.subscribe());
+        let mut up = self.up.subscribe();
+        let mut revisions = self.revision.subscribe();
+        if !*up.borrow_and_update() {
+            up.changed().await.expect("the agent lives");
+            if !self.answers_hung.get() {
+                return std::future::pending().await;
+            }
+        }
+        stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
+        let mut told = index;
+        loop {
+            let now = *revisions.borrow_and_update();
+            if *up.borrow_and_update() && now > told {
+                self.write(&mut stream, &self.news(now, told == 0)).await?;
+                told = now;
+            }
+            tokio::select! {
+                changed = revisions.changed() => changed.expect("the agent lives"),
+                changed = up.changed() => changed.expect("the agent lives"),
+                _ = silenced.changed() => return std::future::pending().await,
+                _ = reset.changed() => return Ok(()),
+                () = sleep(Duration::from_secs(2)), if *self.up.borrow() => {
+                    self.write(&mut stream, "\n").await?;
+                }
+            }
+        }
+    }
+
+    fn connect(self: &Rc<Self>) -> impl Future<Output = std::io::Result<DuplexStream>> + use<> {
+        let this = self.clone();
+        async move {
+            if this.door.get() == Door::Late {
+                sleep(Duration::from_millis(600)).await;
+            }
+            match this.door.get() {
+                Door::Refused => Err(std::io::ErrorKind::ConnectionRefused.into()),
+                Door::Stalled => std::future::pending().await,
+                Door::Open | Door::Late => {
+                    let (ours, theirs) = duplex(1 << 16);
+                    spawn_local(async move { drop(this.converse(theirs).await) });
+                    Ok(ours)
+                }
+            }
+        }
+    }
+
+    fn act(&self, what: Do, orders: &mpsc::UnboundedSender<Order>) {
+        match what {
+            Do::Change => self.revision.send_modify(|r| *r += 1),
+            Do::Silence => self.silenced.send_modify(|n| *n += 1),
+            Do::Reset => self.reset.send_modify(|n| *n += 1),
+            Do::Down => drop(self.up.send_replace(false)),
+            Do::Up { hung_too } => {
+                self.answers_hung.set(hung_too);
+                self.up.send_replace(true);
+            }
+            Do::Refuse => self.door.set(Door::Refused),
+            Do::Stall => self.door.set(Door::Stalled),
+            Do::Late => self.door.set(Door::Late),
+            Do::Accept => self.door.set(Door::Open),
+            Do::Move => drop(orders.send(Order::Moved(vec![address(2)]))),
+        }
+    }
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+/// What came of a play: each message with its time, and the times at which the list was lost.
+#[derive(Default)]
+struct Heard {
+    told: Vec<(Instant, Message)>,
+    lost: Vec<Instant>,
+}
+
+/// Plays a script of what happens at which millisecond, to a client that holds revision 41, for `length`. One that
+/// has to ask does so half a second after its list was lost.
+async fn play(
+    agent: &Rc<Agent>,
+    mode: Mode,
+    addresses: u16,
+    script: &[(u64, Do)],
+    length: Duration,
+) -> Heard {
+    let start = Instant::now();
+    let heard = Rc::new(RefCell::new(Heard::default()));
+    let (orders, ordered) = mpsc::unbounded_channel();
+    let all = (1..=addresses).map(address).collect();
+    let follow = Follow::new(all, mode, 41, start);
+    let (sink, asks) = (heard.clone(), orders.clone());
+    let tell = move |news| match news {
+        News::Told(list) => sink.borrow_mut().told.push((Instant::now(), list)),
+        News::Lost => {
+            sink.borrow_mut().lost.push(Instant::now());
+            let asks = asks.clone();
+            spawn_local(async move {
+                sleep(Duration::from_millis(500)).await;
+                let _ = asks.send(Order::Ask);
+            });
+        }
+    };
+    let connecting = agent.clone();
+    let client = spawn_local(client::run(follow, move |_| connecting.connect(), ordered, tell));
+    if mode == Mode::Asked {
+        let _ = orders.send(Order::Ask);
+    }
+    for (at, what) in script {
+        sleep_until(start + Duration::from_millis(*at)).await;
+        agent.act(*what, &orders);
+    }
+    sleep_until(start + length).await;
+    client.abort();
+    heard.take()
+}
+
+/// Runs a test on paused time and one thread.
+fn paused<T>(test: impl Future<Output = T>) -> T {
+    let mut runtime = tokio::runtime::Builder::new_current_thread();
+    let runtime = runtime.enable_time().start_paused(true).build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        timeout(Duration::from_secs(120), test).await.expect("it ends")
+    })
+}
+
+/// Plays the script, and says how long after `known` the drain of revision 42 was told.
+fn heard_after(mode: Mode, layout: Layout, script: &[(u64, Do)], known: u64) -> Duration {
+    paused(async {
+        let (start, agent) = (Instant::now(), Agent::new(layout));
+        let heard = play(&agent, mode, 1, script, Duration::from_secs(40)).await;
+        let drains = |m: &Message| m.members.iter().any(|m| m.phase == Phase::Draining);
+        let (at, _) = heard.told.iter().find(|(_, m)| drains(m)).expect("the drain is told");
+        let revisions: Vec<u64> = heard.told.iter().map(|(_, m)| m.revision).collect();
+        assert!(revisions.is_sorted(), "a revision went back: {revisions:?}");
+        at.saturating_duration_since(start + Duration::from_millis(known))
+    })
+}
+
+/// What happens, and when the news begin to count as told.
+type Case<'a> = (&'a str, &'a [(u64, Do)], u64);
+
+#[test]
+fn news_are_heard_before_sends_on_them_break_the_rule() {
+    use Do::*;
+    let up = |hung_too| Up { hung_too };
+    let cases: [Case; 12] = [
+        ("a watch that works", &[(5000, Change)], 5000),
+        // Counts 6 s after the silence began, and the agent had it long before.
+        ("a silent watch", &[(5000, Silence), (5500, Change)], 11_000),
+        (
+            "silent, and the next call's connection stalls",
+            &[(5000, Silence), (5000, Stall), (5500, Change), (9000, Accept)],
+            11_000,
+        ),
+        (
+            "silent, and the next call hangs with it",
+            &[(5000, Silence), (5500, Change), (8000, Down), (10_400, up(false))],
+            11_000,
+        ),
+        (
+            "silent, and connections come up late",
+            &[(5000, Silence), (5000, Late), (5500, Change)],
+            11_000,
+        ),
+        ("reset, and the news right after it", &[(5000, Reset), (5001, Change)], 5001),
+        (
+            "reset, and refused for a while",
+            &[(5000, Reset), (5000, Refuse), (7000, Change), (7010, Accept)],
+            7010,
+        ),
+        (
+            "down, and open watches are told at the return",
+            &[(5000, Down), (5100, Change), (13_000, up(true))],
+            13_000,
+        ),
+        (
+            "down, and calls that hung are never answered",
+            &[(5000, Down), (5000, Silence), (5100, Change), (13_000, up(false))],
+            13_000,
+        ),
+        (
+            "down only while the next call is made",
+            &[(5000, Silence), (8400, Down), (8600, Change), (8700, up(false))],
+            11_000,
+        ),
+        ("down from the first moment on", &[(0, Down), (100, Change), (6000, up(false))], 6000),
+        (
+            "moved, to an agent that is down and back",
+            &[(5000, Down), (5000, Move), (6000, Change), (9000, up(false))],
+            9000,
+        ),
+    ];
+    for layout in [Layout::Line, Layout::Cut] {
+        for (what, script, known) in cases {
+            let after = heard_after(PUSHED, layout, script, known);
+            assert!(after <= GRACE / 4, "{what}: heard {after:?} later");
+        }
+    }
+}
+
+#[test]
+fn a_list_that_is_asked_for_is_lost_when_it_is_silent_and_asked_for_again() {
+    let script = [(5000, Do::Silence), (5500, Do::Change)];
+    for layout in [Layout::Line, Layout::Cut] {
+        assert!(heard_after(Mode::Asked, layout, &script, 11_000) <= GRACE / 2);
+    }
+    paused(async {
+        let agent = Agent::new(Layout::Line);
+        let script = [(0, Do::Down), (4500, Do::Up { hung_too: false }), (5000, Do::Change)];
+        let heard = play(&agent, Mode::Asked, 1, &script, Duration::from_secs(30)).await;
+        assert_eq!(heard.lost.len(), 2, "each of two calls without an answer was told as lost");
+        assert_eq!(heard.told.len(), 1);
+        assert_eq!(agent.calls.borrow().len(), 3, "it calls when it is told to, and not by itself");
+    });
+}
+
+#[test]
+fn calls_stay_few_and_steady_however_long_discovery_is_down() {
+    paused(async {
+        let agent = Agent::new(Layout::Line);
+        let script = [(0, Do::Down), (60_000, Do::Up { hung_too: false })];
+        let heard = play(&agent, PUSHED, 1, &script, Duration::from_secs(70)).await;
+        assert!(heard.told.is_empty() && heard.lost.is_empty());
+        let calls = agent.calls.borrow();
+        let gaps = calls.windows(2).map(|c| c[1].0 - c[0].0);
+        assert_eq!(gaps.min(), Some(GRACE / 4), "a quarter of the grace between two calls");
+        assert!(calls.len() <= 242, "{} calls in 60 s", calls.len());
+    });
+    // A quiet watch in order is left alone.
+    paused(async {
+        let agent = Agent::new(Layout::Line);
+        play(&agent, PUSHED, 1, &[], Duration::from_secs(60)).await;
+        assert_eq!(agent.calls.borrow().len(), 1);
+    });
+    // Instances of a list service are many proxies' own: the longer they say nothing, the fewer calls.
+    paused(async {
+        let agent = Agent::new(Layout::Line);
+        play(&agent, PUSHED, 3, &[(0, Do::Refuse)], Duration::from_secs(60)).await;
+        agent.door.set(Door::Open);
+        let heard = play(&agent, PUSHED, 3, &[(0, Do::Down)], Duration::from_secs(60)).await;
+        assert!(heard.told.is_empty());
+        let calls = agent.calls.borrow().len();
+        assert!((30..=160).contains(&calls), "{calls} calls in 60 s");
+    });
+}
