Lists on a watch are read however they are laid out: indented, in pieces, several at once

Of the table's cases each indented one fails with the old reader ("the drain is told": it never is; the watch ends with "a line that is no list: EOF while parsing an object" and is made again).

Change: src/discovery/objects.rs finds the end of each object by its braces, outside of texts, and looks at each byte once; white space between objects is a sign of life. What is no object, or has no end within 4 MiB, ends the watch and is named in the log with the address; the list held stays.

Measured: property test over layouts and cuts, the table of tests/list_client.rs in three layouts; 36 library tests and 4 of the client pass.

--- a/src/discovery/client.rs
+++ b/src/discovery/client.rs
@@ -6,7 +6,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::Request;
 use hyper::header::HOST;
@@ -19,10 +19,11 @@
 
 use super::follow::{Follow, Step, Verdict};
 use super::member::Message;
+use super::objects::{ObjectError, Objects};
 use crate::tasks::AbortOnDrop;
 
-/// No line of a list is longer than this; more is not discovery.
-const LONGEST_LINE: usize = 4 << 20;
+/// No object of a list is longer than this, in bytes: some ten thousand members; more is not discovery.
+const LONGEST_OBJECT: usize = 4 << 20;
 
 /// The trouble that no call tells of.
 const SILENT: &str = "silence";
@@ -53,10 +54,10 @@
     Http(#[from] hyper::Error),
     #[error("answered {0}")]
     Status(hyper::StatusCode),
-    #[error("a line that is no list: {0}")]
-    Malformed(#[from] serde_json::Error),
-    #[error("a line without end")]
-    Endless,
+    #[error("no list: {0}")]
+    Object(#[from] ObjectError),
+    #[error("no list: {0}")]
+    Message(#[from] serde_json::Error),
     #[error("ended")]
     Ended,
     #[error("request: {0}")]
@@ -194,20 +195,13 @@
     }
     say(Word::Answered);
     let mut body = response.into_body();
-    let mut lines = BytesMut::new();
+    let mut objects = Objects::new(LONGEST_OBJECT);
     loop {
         let frame = body.frame().await.ok_or(WatchError::Ended)??;
         let Ok(data) = frame.into_data() else { continue };
-        lines.extend_from_slice(&data);
-        // A line may come in pieces, and several may come at once.
-        while let Some(end) = lines.iter().position(|b| *b == b'\n') {
-            let line = lines.split_to(end + 1);
-            if !line.trim_ascii().is_empty() {
-                say(Word::Told(serde_json::from_slice(&line)?));
-            }
-        }
-        if lines.len() > LONGEST_LINE {
-            return Err(WatchError::Endless);
+        objects.add(&data);
+        while let Some(object) = objects.take()? {
+            say(Word::Told(serde_json::from_slice(&object)?));
         }
         say(Word::Spoke);
     }
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -5,8 +5,8 @@
 //! `GET /api/targets` and its watch `?stream=1&index=N`, [`management`] takes the calls of members, operators and
 //! the other instances.
 //!
-//! Its clients: [`follow`] decides where to watch and what to believe (pure), [`client`] holds one watch,
-//! [`keeper`] keeps the last list on disk.
+//! Its clients: [`follow`] decides where and when to call and what to believe (pure), [`client`] makes the calls,
+//! [`objects`] finds the lists on a watch, [`keeper`] keeps the last list on disk.
 
 pub mod client;
 pub mod config;
@@ -14,6 +14,7 @@
 pub mod keeper;
 pub mod management;
 pub mod member;
+pub mod objects;
 pub mod registration;
 pub mod server;
 pub mod store;
