An entry that can't be read closes its upstream; two entries of one id are no list

Lead, confirmed by probe: an entry of a changed phase's type, or otherwise unreadable, was left out of the message. In an update that left its upstream open, though something was told of it. Two entries of one id, one SERVING and one DRAINING, were taken in the order they came.

Change: an entry with an id that can't be read otherwise is of unknown phase, which takes nothing new. An entry without a usable address was right already (tests/node.rs), and so was a whole list that leaves an upstream out.

--- a/src/discovery/client.rs
+++ b/src/discovery/client.rs
@@ -18,7 +18,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::follow::{Follow, Step, Verdict};
-use super::member::Message;
+use super::member::{Message, MessageError};
 use super::objects::{ObjectError, Objects};
 use crate::tasks::AbortOnDrop;
 
@@ -57,7 +57,7 @@
     #[error("no list: {0}")]
     Object(#[from] ObjectError),
     #[error("no list: {0}")]
-    Message(#[from] serde_json::Error),
+    Message(#[from] MessageError),
     #[error("ended")]
     Ended,
     #[error("request: {0}")]
@@ -201,7 +201,7 @@
         let Ok(data) = frame.into_data() else { continue };
         objects.add(&data);
         while let Some(object) = objects.take()? {
-            say(Word::Told(serde_json::from_slice(&object)?));
+            say(Word::Told(Message::read(&object)?));
         }
         say(Word::Spoke);
     }
--- a/src/discovery/member.rs
+++ b/src/discovery/member.rs
@@ -1,6 +1,7 @@
 //! One entry of the list and one message of it, in the form PROTOCOL ("Discovery") gives: the one type of the
 //! list service, of its clients, and of what is kept on disk.
 
+use rustc_hash::FxHashSet;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 /// The phase of an upstream. `Deleted` appears in changes only.
@@ -56,6 +57,13 @@
 }
 
 impl Member {
+    /// Stands for an entry of this id that can't be read otherwise.
+    fn unreadable(id: String) -> Self {
+        let (host_port, locality, flavor) = Default::default();
+        let (phase, size) = (Phase::Unknown, one());
+        Self { id, host_port, locality, flavor, cell: 0, phase, size, up_since_ms: 0.0 }
+    }
+
     /// What keeps this entry out of the list, by its key: an empty or overlong id, an address that is none,
     /// a phase or size that can't be.
     pub fn fault(&self) -> Option<(&'static str, &'static str)> {
@@ -90,22 +98,48 @@
     pub members: Vec<Member>,
 }
 
-/// Guards against one entry that can't be read: it must not cost the news of all others. A form that is not
-/// human-readable (our own on disk) has no such entries.
+/// Guards against one entry that can't be read: it must not cost the news of all others, and nothing says any more
+/// that what it names takes requests. A form that is not human-readable (our own on disk) has no such entries.
 fn readable<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<Member>, D::Error> {
     if !from.is_human_readable() {
         return Vec::deserialize(from);
     }
     let all = Vec::<serde_json::Value>::deserialize(from)?;
-    let read = |entry| {
-        serde_json::from_value(entry)
-            .inspect_err(|cause| tracing::warn!(%cause, "an entry of the list is left out"))
-            .ok()
+    let read = |entry: serde_json::Value| {
+        let id = entry.get("id").and_then(|id| id.as_str()).map(str::to_owned);
+        serde_json::from_value(entry).or_else(|cause| {
+            tracing::warn!(%cause, id, "an entry of the list that can't be read");
+            id.map(Member::unreadable).ok_or(())
+        })
     };
-    Ok(all.into_iter().filter_map(read).collect())
+    Ok(all.into_iter().filter_map(|entry| read(entry).ok()).collect())
+}
+
+/// Why an object is no list.
+#[derive(Debug, thiserror::Error)]
+pub enum MessageError {
+    /// It is no JSON, or of the wrong types.
+    #[error("{0}")]
+    Malformed(#[from] serde_json::Error),
+    /// Two entries of one id: nothing tells which holds.
+    #[error("two entries of id {0:?}")]
+    Twice(String),
 }
 
 impl Message {
+    /// Reads one object of a watch.
+    ///
+    /// # Errors
+    /// [`MessageError`]; no part of it may be used.
+    pub fn read(object: &[u8]) -> Result<Self, MessageError> {
+        let read: Self = serde_json::from_slice(object)?;
+        let mut ids = FxHashSet::default();
+        match read.members.iter().find(|m| !ids.insert(m.id.as_str())) {
+            Some(twice) => Err(MessageError::Twice(twice.id.clone())),
+            None => Ok(read),
+        }
+    }
+
     /// The object as one line of a watch, with its ending newline.
     pub fn line(&self) -> Vec<u8> {
         let mut line = serde_json::to_vec(self).unwrap_or_default();
--- a/tests/list_client.rs
+++ b/tests/list_client.rs
@@ -350,6 +350,7 @@
     let bad = [
         "[1]\n",
         "{\"revision\":\"x\"}\n",
+        "{\"revision\":50,\"members\":[{\"id\":\"s-1\",\"phase\":\"SERVING\"},{\"id\":\"s-1\",\"phase\":\"DRAINING\"}]}\n",
         "{\"revision\":50,\"members\":7}\n",
         "nonsense",
         endless,
@@ -368,6 +369,17 @@
     }
 }
 
+#[test]
+fn an_entry_that_cannot_be_read_no_longer_counts_as_serving() {
+    paused(async {
+        let agent = Agent::new(Layout::Line);
+        let text = "{\"revision\":42,\"members\":[{\"id\":\"s-1\",\"phase\":[7]},{\"id\":3}]}\n";
+        let heard = play(&agent, PUSHED, 1, &[(5000, Do::Say(text))], GRACE * 6).await;
+        let told: Vec<_> = heard.told[0].1.members.iter().map(|m| (&*m.id, m.phase)).collect();
+        assert_eq!(told, [("s-1", Phase::Unknown)]);
+    });
+}
+
 #[test]
 fn calls_stay_few_and_steady_however_long_discovery_is_down() {
     paused(async {
