After SIGHUP has moved discovery the whole list is asked for, from whatever revision

Lead, confirmed by probe: moved to a discovery that counts its revisions anew (7, with 41 held), the proxy asked for what came after 41. The table's agent and our own list service (Since::Ahead) then say nothing until they have passed 41, so an upstream that drains there stays open. That an older first message is believed was right already.

Change: until the new discovery has told something, calls ask from revision 0, that is, for the whole list; what it leaves out is closed. One whole list for each proxy and SIGHUP.

--- a/src/discovery/follow.rs
+++ b/src/discovery/follow.rs
@@ -144,8 +144,8 @@
         self.steps.drain(..)
     }
 
-    /// The service is elsewhere from now on, and may count its revisions anew: what it tells first is
-    /// believed.
+    /// The service is elsewhere from now on, and may count its revisions anew: it is asked for the whole list, and
+    /// what it tells first is believed.
     pub fn moved(&mut self, addresses: Vec<SocketAddr>, now: Instant) {
         (self.addresses, self.at, self.anew) = (addresses, 0, true);
         (self.failures, self.waits) = (0, waits());
@@ -254,7 +254,7 @@
     fn call(&mut self, now: Instant) {
         let Some(address) = self.addresses.get(self.at).copied() else { return };
         self.serial += 1;
-        let (serial, index) = (self.serial, self.revision);
+        let (serial, index) = (self.serial, if self.anew { 0 } else { self.revision });
         if self.open.len() >= MOST_OPEN {
             self.steps.push(Step::Drop(self.open.remove(0)));
         }
--- a/tests/list_client.rs
+++ b/tests/list_client.rs
@@ -49,6 +49,8 @@
     Accept,
     /// It says this on open watches.
     Say(&'static str),
+    /// Its revisions begin again at this one, as at another discovery.
+    Restart(u64),
     /// The client is told that discovery has moved.
     Move,
 }
@@ -188,6 +190,7 @@
             Do::Late => self.door.set(Door::Late),
             Do::Accept => self.door.set(Door::Open),
             Do::Say(text) => self.said.send_modify(|said| *said = (said.0 + 1, text)),
+            Do::Restart(revision) => drop(self.revision.send_replace(revision)),
             Do::Move => drop(orders.send(Order::Moved(vec![address(2)]))),
         }
     }
@@ -380,6 +383,21 @@
     });
 }
 
+#[test]
+fn another_discovery_is_asked_for_its_whole_list_and_believed_once() {
+    paused(async {
+        let agent = Agent::new(Layout::Line);
+        // It counts from 7: asked for what came after 41 it would say nothing.
+        let script =
+            [(5000, Do::Restart(7)), (5000, Do::Move), (8000, Do::Restart(6)), (8000, Do::Reset)];
+        let heard = play(&agent, PUSHED, 1, &script, Duration::from_secs(10)).await;
+        let told: Vec<_> = heard.told.iter().map(|(_, m)| (m.revision, m.complete)).collect();
+        assert_eq!(told, [(7, true)]);
+        let calls: Vec<u64> = agent.calls.borrow().iter().map(|c| c.1).collect();
+        assert_eq!(calls, [41, 0, 7]);
+    });
+}
+
 #[test]
 fn calls_stay_few_and_steady_however_long_discovery_is_down() {
     paused(async {
