A process that stood still reads its news before it sends anything

Lead (each way in which a proxy may have been told and yet sends), confirmed by probe: stopped for 0.8 s (SIGSTOP, grace 0.5 s) with the news in its socket and 24 requests behind or before them, the proxy sent 2 requests to the draining upstream after SIGCONT, in 4 of 4 runs: news pass through four tasks, a request through one.

Change: news have a channel of their own that comes before all notes. A timer that fires later than a quarter of the grace tells of a stall; then all tasks get some turns until what is on the watch is heard, before the next request is decided on.

Ruled out: a connection that comes up while the process stands still. Three runs with it up during the stop sent nothing without a mend, so none was made.

--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -33,6 +33,12 @@
 /// At this much less the engine answers itself, should the module still owe one.
 const BACKSTOP: Duration = Duration::from_millis(5);
 
+/// A process that stood still for more than this part of the grace of a drain reads its news first.
+const STALL_OF_GRACE: u32 = 4;
+/// Turns of all tasks until what has come on the watch is here: a handful from the socket on, and a long list comes
+/// in several pieces.
+const SETTLE: usize = 16;
+
 /// What the engine is told.
 pub enum Note {
     Arrived {
@@ -49,7 +55,6 @@
         attempt: usize,
         ended: Ended,
     },
-    Listed(News),
     DiscoveryMoved(Vec<SocketAddr>),
     /// How many upstreams the list names, and how many of them the module avoids.
     Pool(oneshot::Sender<(usize, usize)>),
@@ -187,6 +192,8 @@
     balancer: Balancer,
     clock: Clock,
     notes: mpsc::UnboundedReceiver<Note>,
+    /// Of the list; these come before all notes.
+    news: mpsc::UnboundedReceiver<News>,
     own_notes: mpsc::UnboundedSender<Note>,
     requests: FxHashMap<RequestId, Held>,
     timers: BinaryHeap<Reverse<(Instant, Due)>>,
@@ -199,6 +206,8 @@
     keeper: Option<Keeper>,
     /// To the client of the list.
     orders: mpsc::UnboundedSender<Order>,
+    /// A timer that fires so late tells that the process stood still.
+    stall: Duration,
     _client: AbortOnDrop,
     second_copies: bool,
     max_attempts: usize,
@@ -250,13 +259,14 @@
         let mode = if settings.must_ask { Mode::Asked } else { Mode::Pushed { grace } };
         let follow = Follow::new(config.discovery.clone(), mode, known.revision, Instant::now());
         let (orders, ordered) = mpsc::unbounded_channel();
-        let notes_of_list = own_notes.clone();
-        let told = move |news| drop(notes_of_list.send(Note::Listed(news)));
-        let client = client::run(follow, client::connect, ordered, told);
+        let (tell, news) = mpsc::unbounded_channel();
+        let tell = move |news| drop(tell.send(news));
+        let client = client::run(follow, client::connect, ordered, tell);
         let mut engine = Self {
             balancer: Balancer::new(settings, config.seed, clock.now())?,
             clock,
             notes,
+            news,
             own_notes,
             requests: FxHashMap::default(),
             timers: BinaryHeap::new(),
@@ -268,6 +278,7 @@
             figures,
             keeper,
             orders,
+            stall: grace / STALL_OF_GRACE,
             _client: AbortOnDrop(tokio::task::spawn_local(client)),
             second_copies,
             max_attempts,
@@ -285,17 +296,39 @@
                     None => std::future::pending().await,
                 }
             };
-            tokio::select! {
+            let note = tokio::select! {
+                biased;
+                Some(news) = self.news.recv() => {
+                    self.heard(news);
+                    continue;
+                }
                 note = self.notes.recv() => match note {
-                    Some(note) => self.take(note),
+                    Some(note) => Some(note),
                     None => return,
                 },
-                () = sleep => {}
+                () = sleep => None,
+            };
+            if due.is_some_and(|due| due.elapsed() > self.stall) {
+                self.settle().await;
+            }
+            if let Some(note) = note {
+                self.take(note);
             }
             self.fire();
         }
     }
 
+    /// The process stood still. What it was told meanwhile may be older than what it is asked now, and no less in
+    /// force: it is read before anything is sent.
+    async fn settle(&mut self) {
+        for _ in 0..SETTLE {
+            tokio::task::yield_now().await;
+            while let Ok(news) = self.news.try_recv() {
+                self.heard(news);
+            }
+        }
+    }
+
     fn fire(&mut self) {
         let now = Instant::now();
         while let Some(Reverse((at, due))) = self.timers.peek().copied() {
@@ -333,15 +366,18 @@
             Note::Pool(reply) => {
                 let _ = reply.send(self.balancer.pool(self.clock.now()));
             }
-            Note::Listed(News::Told(list)) => {
+        }
+    }
+
+    fn heard(&mut self, news: News) {
+        match news {
+            News::Told(list) => {
                 self.listed(&list, if list.complete { ListKind::Whole } else { ListKind::Update });
                 if let Some(keeper) = &mut self.keeper {
                     keeper.keep(&list);
                 }
             }
-            Note::Listed(News::Lost) => {
-                self.tell(Event::Members { kind: ListKind::Unavailable, list: &[] });
-            }
+            News::Lost => self.tell(Event::Members { kind: ListKind::Unavailable, list: &[] }),
         }
     }
 
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -403,6 +403,40 @@
     }
 }
 
+#[test]
+fn what_was_told_while_the_process_stood_still_holds_for_what_it_is_asked_after() {
+    for news_first in [true, false] {
+        let (a, b) = (slow("a"), slow("b"));
+        let node = Node::start(&config(members(&[&a, &b])));
+        let (_, mut watch) = node.discovery.watch();
+        chunk(&mut watch, "\n");
+        // Kept connections at both, and enough clients that both would be used.
+        let mut clients: Vec<Client> = (0..24).map(|_| node.client()).collect();
+        for client in &mut clients {
+            client.ask(&read("r1", 5000));
+        }
+        while a.requests_so_far() + b.requests_so_far() > 0 {}
+        node.signal("STOP");
+        let mut tell = || {
+            let drains = json!([member("s-0", a.address, "DRAINING")]);
+            let list = json!({"revision": 42, "complete": false, "members": drains});
+            chunk(&mut watch, &format!("{list}\n"));
+        };
+        if news_first {
+            tell();
+        }
+        clients.iter_mut().for_each(|c| c.send(&read("r2", 5000)));
+        if !news_first {
+            tell();
+        }
+        std::thread::sleep(Duration::from_millis(800)); // Past the grace of 500 ms.
+        node.signal("CONT");
+        clients.iter_mut().for_each(|c| drop(c.answer().expect("an answer")));
+        assert_eq!(a.requests_so_far(), 0, "news first: {news_first}");
+        assert!(b.requests_so_far() > 0);
+    }
+}
+
 #[test]
 fn sighup_moves_the_watch_to_where_the_file_says() {
     let upstream = Upstream::start(|_| ok("ok"));
