The list service takes as many connections as its descriptors allow, and says when full

Lead, confirmed from the code: calls::MOST closed the 513th connection to the list service and to every management address without a word, one log line for each; the operators' banks have some 350 proxies, and lists of 1,024 are to be held.

Change: the number comes from the limit of descriptors less 64 for the process's own; the list service raises that limit as far as the system lets it. A caller over it gets 503 with Retry-After and a reason, sixteen at a time. The log says once that it is full and once that there is room again; the same for accepts that fail.

--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod instances;
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -13,11 +14,12 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
-use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
+use hyper::header::{CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use rustix::process::{Resource, getrlimit, setrlimit};
 use serde_json::{Value, json};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
@@ -30,8 +32,12 @@
 const HEAD_WITHIN: Duration = Duration::from_secs(10);
 /// Wait after a failed accept, so that a full descriptor table does not become a busy loop.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
-/// Connections at once; the next is closed at once.
-const MOST: usize = 512;
+/// Descriptors that are no caller's: standard streams, listeners, event queue, the state on disk, calls to others.
+const RESERVED: usize = 64;
+/// Callers over the limit who are told so at once; the next are closed.
+const REFUSALS: usize = 16;
+/// How long one of them may take to hear it.
+const REFUSED_WITHIN: Duration = Duration::from_secs(1);
 
 /// One call as it came.
 #[derive(Debug)]
@@ -65,34 +71,114 @@
     answer
 }
 
-/// Accepts connections until the task is dropped, and hands each stream to `converse`, at most 512 at once.
-/// A failed accept is logged and tried again.
+/// Raises this process's limit of descriptors as far as the system lets it, and returns it: a list service holds one
+/// for each proxy.
+pub fn raise_descriptors() -> usize {
+    let mut limit = getrlimit(Resource::Nofile);
+    let most = limit.maximum;
+    if limit.current != most {
+        limit.current = most;
+        if let Err(cause) = setrlimit(Resource::Nofile, limit) {
+            tracing::warn!(%cause, "the limit of descriptors stays as it is");
+        }
+    }
+    descriptors()
+}
+
+fn descriptors() -> usize {
+    let most = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
+    usize::try_from(most).unwrap_or(usize::MAX)
+}
+
+thread_local! {
+    /// Connections open on all listeners of this thread, on which a process has them all.
+    static OPEN: Cell<usize> = const { Cell::new(0) };
+}
+
+/// One connection's place, given back when dropped.
+struct Place;
+
+impl Place {
+    fn take(most: usize) -> Option<Self> {
+        let open = OPEN.get();
+        (open < most).then(|| {
+            OPEN.set(open + 1);
+            Self
+        })
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        OPEN.set(OPEN.get() - 1);
+    }
+}
+
+/// Accepts connections until the task is dropped, and hands each stream to `converse`: as many at once as the
+/// process has descriptors for. The next get 503, and the log says so once; so it does of accepts that fail.
 pub async fn accept<F: Future<Output = ()> + 'static>(
     listener: TcpListener,
     converse: impl Fn(TcpStream) -> F,
 ) {
-    let open = Rc::new(());
+    accept_at_most(descriptors().saturating_sub(RESERVED), listener, converse).await;
+}
+
+async fn accept_at_most<F: Future<Output = ()> + 'static>(
+    most: usize,
+    listener: TcpListener,
+    converse: impl Fn(TcpStream) -> F,
+) {
+    let (refusals, mut trouble) = (Rc::new(()), false);
     loop {
-        match listener.accept().await {
-            Ok(_) if Rc::strong_count(&open) > MOST => {
-                tracing::warn!("a connection over the {MOST} allowed is closed");
-            }
-            Ok((stream, _)) => {
-                let _ = stream.set_nodelay(true);
-                let (open, converse) = (open.clone(), converse(stream));
-                tokio::task::spawn_local(async move {
-                    converse.await;
-                    drop(open);
-                });
-            }
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
             Err(cause) => {
-                tracing::warn!(%cause, "accept");
+                if !std::mem::replace(&mut trouble, true) {
+                    tracing::warn!(%cause, "connections are not accepted");
+                }
                 tokio::time::sleep(ACCEPT_BACKOFF).await;
+                continue;
+            }
+        };
+        let _ = stream.set_nodelay(true);
+        if let Some(place) = Place::take(most) {
+            if std::mem::replace(&mut trouble, false) {
+                tracing::info!("connections are accepted again");
             }
+            let converse = converse(stream);
+            tokio::task::spawn_local(async move {
+                converse.await;
+                drop(place);
+            });
+            continue;
+        }
+        if !std::mem::replace(&mut trouble, true) {
+            tracing::warn!(
+                most,
+                "the limit of descriptors allows no more connections; callers get 503"
+            );
+        }
+        if Rc::strong_count(&refusals) <= REFUSALS {
+            let refusal = refusals.clone();
+            tokio::task::spawn_local(async move {
+                let _ = timeout(REFUSED_WITHIN, refuse(stream, most)).await;
+                drop(refusal);
+            });
         }
     }
 }
 
+/// Answers a caller over the limit.
+async fn refuse(stream: TcpStream, most: usize) -> Result<(), hyper::Error> {
+    let service = service_fn(|_| async move {
+        let cause = format!("{most} connections are open, and no more are allowed");
+        let mut answer = error(StatusCode::SERVICE_UNAVAILABLE, cause);
+        answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
+        Ok::<_, Infallible>(answer)
+    });
+    connection().keep_alive(false).serve_connection(TokioIo::new(stream), service).await
+}
+
 /// A server for one connection: bounded heads, and bounded time for each.
 pub fn connection() -> http1::Builder {
     let mut builder = http1::Builder::new();
@@ -223,3 +309,44 @@
     let call = async { Line::open(address).await?.ask(method, path, body, 16 << 20).await };
     timeout(within, call).await.unwrap_or(Err(CallError::Silent(address, within)))
 }
+
+#[cfg(test)]
+mod tests {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+    use super::*;
+
+    #[tokio::test(flavor = "current_thread")]
+    async fn a_caller_over_the_limit_is_told_so_and_one_that_leaves_makes_room() {
+        let served = async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let address = listener.local_addr().expect("an address");
+            tokio::task::spawn_local(accept_at_most(2, listener, |mut stream| async move {
+                let _ = stream.write_all(b"in").await;
+                let _ = stream.read(&mut [0; 8]).await;
+            }));
+            let mut kept = Vec::new();
+            for _ in 0..2 {
+                let mut stream = TcpStream::connect(address).await.expect("connected");
+                assert_eq!(stream.read_u16().await.expect("served"), u16::from_be_bytes(*b"in"));
+                kept.push(stream);
+            }
+            let within = Duration::from_secs(5);
+            let over = ask(address, Method::GET, "/api/targets", "", within).await;
+            let (status, body) = over.expect("an answer, not a reset");
+            assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+            assert!(body.starts_with(b"{\"error\":\"2 connections"), "{body:?}");
+            drop(kept.pop());
+            let from = std::time::Instant::now();
+            loop {
+                let mut stream = TcpStream::connect(address).await.expect("connected");
+                // One that is refused hears nothing before it has asked.
+                if timeout(Duration::from_millis(100), stream.read_u16()).await.is_ok() {
+                    break;
+                }
+                assert!(from.elapsed() < within, "its place is not given back");
+            }
+        };
+        tokio::task::LocalSet::new().run_until(served).await;
+    }
+}
--- a/src/roles/mod.rs
+++ b/src/roles/mod.rs
@@ -111,6 +111,8 @@
 pub fn discovery(args: &DiscoveryArgs) -> Result<(), RoleError> {
     let config = DiscoveryConfig::load(&args.config)?;
     run(async move {
+        let descriptors = crate::calls::raise_descriptors();
+        tracing::info!(descriptors, "one is needed for each watch");
         // Nothing is served before the state has been checked.
         let recovery = match args.restore_last_good {
             true => Recovery::LastGoodSnapshot,
