--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -161,6 +161,11 @@
         let _ = self.processes[i].child.wait();
     }
 
+    /// SIGHUP: its configuration has changed.
+    pub fn hang_up(&self, i: usize) {
+        self.signal(i, "HUP");
+    }
+
     /// SIGTERM, without waiting.
     pub fn stop(&self, i: usize) {
         self.signal(i, "TERM");
