A lost watch is asked for again within the grace, however seldom lists are asked for

A watch is found silent after 3.5 s, what it misses counts after 6 s: with AskEvery over 25 s the wait alone may pass that.

Change: a watch that stood waits at most the grace of a drain. Failed calls wait as before.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1167,19 +1167,17 @@
     }
 
     fn members(&mut self, now: Time, kind: ListKind, list: &[Member], out: &mut Vec<Action>) {
-        match kind {
-            ListKind::Unavailable => {
-                self.ask.subscribed = false;
-                self.ask.failures = (self.ask.failures + 1).min(3);
-                let wait = ASK_JITTER_OF_EVERY * f64::from(1 << self.ask.failures);
-                self.ask.next = now.plus(self.jitter(wait));
-                return;
-            }
-            ListKind::Restored => {}
-            ListKind::Update | ListKind::Whole => {
-                self.ask.subscribed = true;
-                self.ask.failures = 0;
-            }
+        if kind == ListKind::Unavailable {
+            let lost = std::mem::take(&mut self.ask.subscribed);
+            self.ask.failures = (self.ask.failures + 1).min(3);
+            let wait = self.jitter(ASK_JITTER_OF_EVERY * f64::from(1 << self.ask.failures));
+            // What a lost watch misses soon counts as told, however seldom lists are asked for.
+            let most = if lost { self.settings.rules.drain_grace } else { wait };
+            self.ask.next = now.plus(wait.min(most));
+            return;
+        }
+        if kind != ListKind::Restored {
+            (self.ask.subscribed, self.ask.failures) = (true, 0);
         }
         let before: Vec<Status> = self.servers.iter().map(|s| s.status).collect();
         if kind != ListKind::Update {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -359,6 +359,21 @@
     assert!(asked(&w) > 2, "silence is asked again within AskEvery");
 }
 
+#[test]
+fn a_lost_watch_is_asked_for_again_within_the_grace_however_seldom_lists_are() {
+    let mut rare = Settings { must_ask: true, ..settings() };
+    rare.rules.ask_every = Span(200_000 * MS);
+    let mut w = World::new(rare);
+    for _ in 0..4 {
+        w.list(ListKind::Whole, &[member(0, 0)]);
+        w.list(ListKind::Unavailable, &[]);
+        let asked = |w: &World| w.log.iter().filter(|a| **a == Action::Subscribe).count();
+        let before = asked(&w);
+        w.pass(Span(1100 * MS));
+        assert_eq!(asked(&w), before + 1);
+    }
+}
+
 #[test]
 fn nonsense_settings_are_refused_or_made_safe() {
     let none = Settings { classes: vec![], ..settings() };
