--- a/src/discovery/follow.rs
+++ b/src/discovery/follow.rs
@@ -252,6 +252,7 @@
     }
 
     fn call(&mut self, now: Instant) {
+        self.due = None;
         let Some(address) = self.addresses.get(self.at).copied() else { return };
         self.serial += 1;
         let (serial, index) = (self.serial, if self.anew { 0 } else { self.revision });
