Tests: the table of the list client also where lists are asked for

Five cases in three layouts; a caller that asks half a second after each loss hears the news within the grace.

--- a/tests/list_client.rs
+++ b/tests/list_client.rs
@@ -333,9 +333,24 @@
 
 #[test]
 fn a_list_that_is_asked_for_is_lost_when_it_is_silent_and_asked_for_again() {
-    let script = [(5000, Do::Silence), (5500, Do::Change)];
-    for layout in [Layout::Line, Layout::Indented] {
-        assert!(heard_after(Mode::Asked, layout, &script, 11_000) <= GRACE / 2);
+    use Do::*;
+    // Its caller asks half a second after each loss.
+    let cases: [Case; 5] = [
+        ("a watch that works", &[(5000, Change)], 5000),
+        ("a silent watch", &[(5000, Silence), (5500, Change)], 11_000),
+        ("reset, and the news right after it", &[(5000, Reset), (5001, Change)], 5001),
+        (
+            "reset, and refused for a while",
+            &[(5000, Reset), (5000, Refuse), (7000, Change), (7010, Accept)],
+            7010,
+        ),
+        ("moved", &[(5000, Silence), (5500, Change), (5500, Move)], 9500),
+    ];
+    for layout in [Layout::Line, Layout::Indented, Layout::Cut] {
+        for (what, script, known) in cases {
+            let after = heard_after(Mode::Asked, layout, script, known);
+            assert!(after <= GRACE / 2, "{what}: heard {after:?} later");
+        }
     }
     paused(async {
         let agent = Agent::new(Layout::Line);
