A proxy's thread hands its keeper what changed, not the whole list

Need: loops whose cost grows with the square of the fleet. With state_dir each change cloned the whole list on the proxy's thread and searched it there; a release of 1,024 upstreams cloned 1,024 lists of 1,024 entries.

Change: the keeper's own thread holds the list and takes changes in; what came while it wrote goes into one write.

Measured: tests/recovery.rs passes; the list kept is the same.

--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -373,8 +373,8 @@
         match news {
             News::Told(list) => {
                 self.listed(&list, if list.complete { ListKind::Whole } else { ListKind::Update });
-                if let Some(keeper) = &mut self.keeper {
-                    keeper.keep(&list);
+                if let Some(keeper) = &self.keeper {
+                    keeper.keep(list);
                 }
             }
             News::Lost => self.tell(Event::Members { kind: ListKind::Unavailable, list: &[] }),
--- a/src/discovery/keeper.rs
+++ b/src/discovery/keeper.rs
@@ -16,7 +16,7 @@
 /// The file's name.
 pub const FILE: &str = "last-list";
 
-/// The last list, held and kept.
+/// The list found at the start, and who keeps what it becomes.
 #[derive(Debug)]
 pub struct Keeper {
     list: Message,
@@ -82,15 +82,13 @@
                 Message::default()
             }
         };
-        let (writer, lists) = mpsc::channel::<Message>();
-        let dir = dir.to_owned();
+        let (writer, news) = mpsc::channel::<Message>();
+        let (dir, mut kept) = (dir.to_owned(), list.clone());
         let spawned = thread::Builder::new().name("keeper".into()).spawn(move || {
-            while let Ok(mut list) = lists.recv() {
-                // Only the newest matters.
-                while let Ok(newer) = lists.try_recv() {
-                    list = newer;
-                }
-                if let Err(error) = write(&dir, &list) {
+            while let Ok(first) = news.recv() {
+                // What came since goes into the same write.
+                std::iter::once(first).chain(news.try_iter()).for_each(|n| kept.update(&n));
+                if let Err(error) = write(&dir, &kept) {
                     tracing::warn!(%error, "the last list is not kept");
                 }
             }
@@ -101,15 +99,15 @@
         Ok(Self { list, writer })
     }
 
-    /// The list as last kept; empty, of revision 0, where there was none.
+    /// The list as kept before this start; empty, of revision 0, where there was none.
     pub fn list(&self) -> &Message {
         &self.list
     }
 
-    /// Takes news in, and has the list written.
-    pub fn keep(&mut self, news: &Message) {
-        self.list.update(news);
-        let _ = self.writer.send(self.list.clone());
+    /// Has the list written with these news taken in: the proxy's thread hands on what changed, however long the
+    /// list is.
+    pub fn keep(&self, news: Message) {
+        let _ = self.writer.send(news);
     }
 }
 
