A list newer than the one kept on disk is what later changes are kept to

Seen in reading: with state_dir, a proxy that was started with a newer list in its configuration served from that, but kept the changes to the older list on disk. At the next start without a list service it served a list that never was, in which an upstream announced as leaving could be open.

Change: where the configuration's list is the newer, it is kept first.

--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -254,6 +254,10 @@
         let second_copies = settings.limits.second_copies;
         let max_attempts = settings.limits.max_attempts;
         let kept = keeper.as_ref().map(Keeper::list).filter(|l| l.revision > config.known.revision);
+        // What is kept from now on are changes to the list that is held.
+        if let (None, Some(keeper)) = (kept, &keeper) {
+            keeper.keep(config.known.clone());
+        }
         let known = kept.unwrap_or(&config.known).clone();
         let grace = Duration::from_micros(settings.rules.drain_grace.0.max(0) as u64);
         let mode = if settings.must_ask { Mode::Asked } else { Mode::Pushed { grace } };
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -13,6 +13,7 @@
 use std::time::{Duration, Instant};
 
 use harness::{ASK, Cluster, Fleet, PROGRAM, free, get, look, member, post, until};
+use serde_json::{Value, json};
 
 const SOON: Duration = Duration::from_secs(5);
 
@@ -201,8 +202,19 @@
         get(fleet.address(proxy), "/api/stock", &ASK) == Some((200, "s-1\n".into()))
     });
     assert!(from.elapsed() < Duration::from_secs(1), "took {:?}", from.elapsed());
-    // A kept list that is spoilt costs a warning, not the start.
+    // A newer one that it is started with is what changes are kept to.
     fleet.kill(proxy);
+    let text = fs::read_to_string("examples/proxy.json").expect("an example");
+    let mut config: Value = serde_json::from_str(&text).expect("JSON");
+    let entry = |id| json!({"id": id, "host_port": "127.0.0.1:9", "phase": "SERVING"});
+    config["known"] =
+        json!({"revision": u32::MAX, "complete": true, "members": [entry("a"), entry("b")]});
+    let newer = fleet.file("newer.json", &config.to_string());
+    let more = [kept[0], ("LB_CONFIG", newer.to_str().expect("UTF-8"))];
+    let (newer, _) = fleet.proxy("newer", &cluster.lists[0].to_string(), &more);
+    until("it is kept", SOON, || said(&check("proxy", &dir)).contains("a list of 2 members"));
+    fleet.kill(newer);
+    // A kept list that is spoilt costs a warning, not the start.
     fs::write(dir.join("last-list"), b"no list at all, and longer than a head").expect("spoilt");
     fleet.restart(proxy);
     assert!(fleet.logged(proxy, "the list kept is not used"));
