A client's connection is read on for a moment after our end of it is closed

Symptom: bytes_behind_the_last_request_do_not_take_its_answer_with_them fails before with None for 61,440 bytes: a client that sends 64 KiB behind its last request is reset before it has read its answer. Cause: hyper shuts the writing side down and the stream is dropped; closed over unread bytes it is reset, and what the peer has not read yet is lost with it. Ruled out: the answer was whole in the proxy, and with nothing behind it arrives. Change: the stream is shared with who looks after it, and after its end is read on for 0.5 s, or 0.05 s in a crowd (RFC 9112, 9.6). What comes then is never a request.

--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -1,6 +1,6 @@
 //! The side that faces clients: an HTTP server that reads requests, asks the engine, and answers once.
 
-use std::cell::{Cell, OnceCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::convert::Infallible;
 use std::future::Future;
 use std::rc::Rc;
@@ -26,7 +26,7 @@
 use crate::engine::{Arrival, Handle, Reply};
 use crate::lifecycle::{LINGER, Lifecycle};
 use crate::succession::Mark;
-use crate::talk::{Talk, Turn, Watched};
+use crate::talk::{self, Talk, Turn, Watched};
 use crate::upstreams::Forward;
 use hollowpaddle::figures::{End, Figures};
 
@@ -43,6 +43,14 @@
 
 type Answer = Response<AnswerBody>;
 
+/// How a connection with a client came to its end.
+enum Over {
+    /// Either side was done with it.
+    Served,
+    /// Its peer had all its time.
+    Lost,
+}
+
 pub struct Front {
     engine: Handle,
     memory: Rc<Memory>,
@@ -142,30 +150,41 @@
     /// All requests of one connection.
     async fn converse(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
+        let stream = Rc::new(RefCell::new(TokioIo::new(stream)));
+        let over = self.talk_with(&stream).await;
+        if let (Over::Served, Some(stream)) = (over, Rc::into_inner(stream)) {
+            talk::close(stream.into_inner().into_inner(), self.crowded()).await;
+        }
+        self.open.set(self.open.get() - 1);
+    }
+
+    async fn talk_with(&self, stream: &talk::Shared) -> Over {
         let talk = Rc::new(Talk::new());
         let service = service_fn(|request| self.respond(request, &talk));
-        let stream = Watched { inner: TokioIo::new(stream), talk: talk.clone() };
+        let watched = Watched { inner: stream.clone(), talk: talk.clone() };
         let connection =
-            http1::Builder::new().max_buf_size(HEAD_LIMIT).serve_connection(stream, service);
+            http1::Builder::new().max_buf_size(HEAD_LIMIT).serve_connection(watched, service);
         tokio::pin!(connection);
-        let lost = talk.lost(|| 2 * self.open.get() > self.most);
-        tokio::pin!(lost);
-        // First what has come: a request that crosses with the end of its time is taken.
-        let ended = tokio::select! {
-            biased;
-            _ = &mut connection => true,
-            () = &mut lost => true,
-            () = self.lifecycle.time_to_close() => false,
-        };
-        if !ended {
-            connection.as_mut().graceful_shutdown();
+        let lost = talk.lost(|| self.crowded());
+        let time_to_close = self.lifecycle.time_to_close();
+        tokio::pin!(lost, time_to_close);
+        let mut closing = false;
+        loop {
+            // First what has come: a request that crosses with the end of its time is taken.
             tokio::select! {
                 biased;
-                _ = connection => {}
-                () = lost => {}
+                _ = &mut connection => return Over::Served,
+                () = &mut lost => return Over::Lost,
+                () = &mut time_to_close, if !closing => {
+                    connection.as_mut().graceful_shutdown();
+                    closing = true;
+                }
             }
         }
-        self.open.set(self.open.get() - 1);
+    }
+
+    fn crowded(&self) -> bool {
+        2 * self.open.get() > self.most
     }
 
     async fn respond(
--- a/src/bin/hollowpaddle/talk.rs
+++ b/src/bin/hollowpaddle/talk.rs
@@ -1,6 +1,7 @@
 //! How far a client's connection has come, and when its peer has kept it waiting for too long.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::io::ErrorKind;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -8,8 +9,9 @@
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout};
 
 /// How long a connection may idle between two requests while there is room for others; and while the table of
 /// clients fills up.
@@ -28,6 +30,9 @@
 const UNREAD: Duration = Duration::from_secs(10);
 /// How often a connection that has a request is looked at.
 const LOOK: Duration = Duration::from_secs(1);
+/// How long a connection is read on after our end of it is closed, and while others want its place.
+const READ_ON: Duration = Duration::from_millis(500);
+const READ_ON_IN_A_CROWD: Duration = Duration::from_millis(50);
 
 #[derive(Clone, Copy, Debug)]
 enum Doing {
@@ -121,19 +126,39 @@
     }
 }
 
+/// A client's connection, for whoever serves it and whoever looks after it.
+pub type Shared = Rc<RefCell<TokioIo<TcpStream>>>;
+
+/// Closes our end and reads on for a moment (RFC 9112, 9.6): closed over bytes that nobody read, a connection is
+/// reset, and the reset takes with it what its peer has not read of the last answer.
+pub async fn close(mut stream: TcpStream, crowded: bool) {
+    let read_on = async {
+        let _ = stream.shutdown().await;
+        let mut unread = vec![0; 4096];
+        while stream.readable().await.is_ok() {
+            match stream.try_read(&mut unread) {
+                Ok(0) => return,
+                Err(e) if e.kind() != ErrorKind::WouldBlock => return,
+                _ => {}
+            }
+        }
+    };
+    let _ = timeout(if crowded { READ_ON_IN_A_CROWD } else { READ_ON }, read_on).await;
+}
+
 /// A stream that tells what its peer does.
 pub struct Watched {
-    pub inner: TokioIo<TcpStream>,
+    pub inner: Shared,
     pub talk: Rc<Talk>,
 }
 
 impl Read for Watched {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: ReadBufCursor<'_>,
     ) -> Poll<std::io::Result<()>> {
-        let read = Pin::new(&mut self.inner).poll_read(cx, buf);
+        let read = Pin::new(&mut *self.inner.borrow_mut()).poll_read(cx, buf);
         if let (Doing::Idle(_), Poll::Ready(Ok(()))) = (self.talk.doing.get(), &read) {
             self.talk.doing.set(Doing::Asking(Instant::now()));
         }
@@ -143,35 +168,35 @@
 
 impl Write for Watched {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        let written = Pin::new(&mut self.inner).poll_write(cx, buf);
+        let written = Pin::new(&mut *self.inner.borrow_mut()).poll_write(cx, buf);
         self.talk.wrote(written.is_pending());
         written
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        let written = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
+        let written = Pin::new(&mut *self.inner.borrow_mut()).poll_write_vectored(cx, bufs);
         self.talk.wrote(written.is_pending());
         written
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.inner.is_write_vectored()
+        self.inner.borrow().is_write_vectored()
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut *self.inner.borrow_mut()).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut *self.inner.borrow_mut()).poll_shutdown(cx)
     }
 }
 
--- /dev/null
+++ b/tests/crossings/mod.rs
@@ -0,0 +1,120 @@
+//! What comes between two lines: a request, an answer, a close or a signal in the moment in which the proxy
+//! turns to something else. Each is made to come there every time, by a peer that holds back until it is let go.
+
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use socket2::{Domain, Socket, Type};
+
+use crate::stubs::*;
+
+/// An upstream whose requests with an id that begins with `w` wait until they are let go, one for each word.
+fn waits_for_a_word(answer: &'static str) -> (Upstream, Sender<()>) {
+    let (go, waits) = channel();
+    let waits: Arc<Mutex<Receiver<()>>> = Arc::new(Mutex::new(waits));
+    let upstream = Upstream::start(move |m| {
+        if m.header("x-request-id").starts_with('w') {
+            let _ = waits.lock().expect("not poisoned").recv_timeout(SOON);
+        }
+        ok(answer)
+    });
+    (upstream, go)
+}
+
+fn pause(ms: u64) {
+    std::thread::sleep(Duration::from_millis(ms));
+}
+
+/// A client whose system holds little of what it has not read yet.
+fn narrow(address: SocketAddr) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(2048).expect("a size");
+    socket.connect(&address.into()).expect("it accepts");
+    let stream = TcpStream::from(socket);
+    stream.set_read_timeout(Some(SOON)).expect("a time");
+    stream
+}
+
+// ---------------------------------------------------------------- closes and shutdowns
+
+#[test]
+fn bytes_behind_the_last_request_do_not_take_its_answer_with_them() {
+    let body: &'static str = "x".repeat(60 << 10).leak();
+    let (upstream, go) = waits_for_a_word(body);
+    let node = Node::start(&config(members(&[&upstream])));
+    for behind in [0, 7, 64 << 10] {
+        let mut client = narrow(node.address);
+        let last = read("w1", 6000).replace("Cookie", "Connection: close\r\nCookie");
+        client.write_all(last.as_bytes()).expect("written");
+        upstream.request();
+        // The request is read; what comes now stays unread to the end.
+        client.write_all(&vec![b'G'; behind]).expect("written");
+        go.send(()).expect("it waits");
+        pause(150); // The answer is written, as far as it goes, and our end closed.
+        let mut answer = BufReader::new(client);
+        let whole = read_message(&mut answer).map(|m| m.body.len());
+        assert_eq!(whole, Some(body.len()), "{behind} bytes behind the request");
+        assert_eq!(answer.read(&mut [0]).ok(), Some(0), "and then it is closed");
+    }
+    assert_eq!(upstream.requests_so_far(), 0, "what was behind it went nowhere");
+}
+
+#[test]
+fn a_request_behind_one_that_closes_is_not_sent_on() {
+    let (upstream, go) = waits_for_a_word("ok");
+    let node = Node::start(&config(members(&[&upstream])));
+    let last = read("w1", 6000).replace("Cookie", "Connection: close\r\nCookie");
+    for apart in [false, true] {
+        let mut client = node.client();
+        if apart {
+            client.send(&last);
+            upstream.request();
+            client.send(&alarm("r2", 6000, "x"));
+        } else {
+            client.send(&format!("{last}{}", alarm("r2", 6000, "x")));
+            upstream.request();
+        }
+        go.send(()).expect("it waits");
+        assert_eq!(client.answer().expect("an answer").status(), 200);
+        assert!(client.answer().is_none(), "one answer to what was taken");
+    }
+    assert_eq!(node.client().ask(&read("r3", 5000)).status(), 200);
+    assert_eq!(upstream.request().1.header("x-request-id"), "r3");
+}
+
+#[test]
+fn a_request_that_crosses_with_the_end_of_an_idle_connection_is_served_or_not_sent_on() {
+    let upstream = Upstream::start(|_| ok("ok"));
+    let mut node = Node::start(&config(members(&[&upstream])));
+    let mut clients: Vec<Client> = (0..40).map(|_| node.client()).collect();
+    for client in &mut clients {
+        assert_eq!(client.ask(&read("r", 5000)).status(), 200);
+    }
+    while upstream.requests_so_far() > 0 {}
+    let from = Instant::now();
+    node.signal("TERM");
+    // Each at its own moment around the half second after which idle connections are closed.
+    let mut answered = 0;
+    for (i, client) in clients.iter_mut().enumerate() {
+        let at = Duration::from_millis(480 + i as u64);
+        std::thread::sleep(at.saturating_sub(from.elapsed()));
+        let _ = client.try_send(&read("r", 5000));
+        answered += usize::from(client.answer().is_some_and(|a| a.status() == 200));
+    }
+    assert_eq!(node.exit_code(), Some(0));
+    assert_eq!(upstream.requests_so_far(), answered, "what went on was answered, and nothing else");
+}
+
+#[test]
+fn sigterm_before_readiness_ends_it_and_leaves_nobody_without_an_answer() {
+    let mut node = Node::start(&config(vec![]));
+    let mut waits = node.client();
+    waits.send(&read("r1", 6000));
+    pause(50);
+    node.signal("TERM");
+    assert_eq!(waits.answer().expect("an answer").status(), 503);
+    assert_eq!(node.exit_code(), Some(0));
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -1,5 +1,6 @@
 //! The node on loopback sockets. Each test guards against a failure that the code it covers names.
 
+mod crossings;
 mod operations;
 mod streams;
 mod stubs;
