A client's close is seen also while nobody reads on its connection

Symptom: what_waits_for_a_slot_is_not_sent_for_a_client_that_has_gone and what_is_sent_behind_the_head_in_one_piece_... fail before: a queued POST was sent on 0.1 s after its client had closed, with 5 bytes unread behind the request. Cause: hyper's server looks for the end of a connection only while its buffer is empty (mid_message_detect_eof). Ruled out: without bytes behind it, half-closed and reset connections are seen at once. Change: while a request is served and hyper does not read, the socket is asked every 40 ms whether its peer has closed. Measured: eight ways of leaving, all seen within 0.1 s.

--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -49,6 +49,8 @@
     Served,
     /// Its peer had all its time.
     Lost,
+    /// Its peer closed it while a request was served.
+    Left,
 }
 
 pub struct Front {
@@ -166,8 +168,9 @@
             http1::Builder::new().max_buf_size(HEAD_LIMIT).serve_connection(watched, service);
         tokio::pin!(connection);
         let lost = talk.lost(|| self.crowded());
+        let left = talk.left(stream);
         let time_to_close = self.lifecycle.time_to_close();
-        tokio::pin!(lost, time_to_close);
+        tokio::pin!(lost, left, time_to_close);
         let mut closing = false;
         loop {
             // First what has come: a request that crosses with the end of its time is taken.
@@ -175,6 +178,7 @@
                 biased;
                 _ = &mut connection => return Over::Served,
                 () = &mut lost => return Over::Lost,
+                () = &mut left => return Over::Left,
                 () = &mut time_to_close, if !closing => {
                     connection.as_mut().graceful_shutdown();
                     closing = true;
--- a/src/bin/hollowpaddle/talk.rs
+++ b/src/bin/hollowpaddle/talk.rs
@@ -1,17 +1,20 @@
 //! How far a client's connection has come, and when its peer has kept it waiting for too long.
 
 use std::cell::{Cell, RefCell};
+use std::future::{Future, poll_fn};
 use std::io::ErrorKind;
-use std::pin::Pin;
+use std::mem::MaybeUninit;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
-use tokio::io::AsyncWriteExt;
+use socket2::SockRef;
+use tokio::io::{AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// How long a connection may idle between two requests while there is room for others; and while the table of
 /// clients fills up.
@@ -30,6 +33,9 @@
 const UNREAD: Duration = Duration::from_secs(10);
 /// How often a connection that has a request is looked at.
 const LOOK: Duration = Duration::from_secs(1);
+/// The same while nobody reads on it, for its peer's close: nothing may be sent on for a client 0.1 s after it
+/// has gone.
+const LOOK_FOR_CLOSE: Duration = Duration::from_millis(40);
 /// How long a connection is read on after our end of it is closed, and while others want its place.
 const READ_ON: Duration = Duration::from_millis(500);
 const READ_ON_IN_A_CROWD: Duration = Duration::from_millis(50);
@@ -49,12 +55,19 @@
     doing: Cell<Doing>,
     /// Since when its peer has taken none of what is to be written.
     unread: Cell<Option<Instant>>,
+    /// Whether it is read on, and its peer's close would be seen there. hyper stops reading once it holds bytes
+    /// that are not of the request it serves, or of a body that nobody takes.
+    read: Cell<bool>,
 }
 
 impl Talk {
     /// A peer that has just connected is asking already: it came to.
     pub fn new() -> Self {
-        Self { doing: Cell::new(Doing::Asking(Instant::now())), unread: Cell::new(None) }
+        Self {
+            doing: Cell::new(Doing::Asking(Instant::now())),
+            unread: Cell::new(None),
+            read: Cell::new(true),
+        }
     }
 
     /// A request is served from now on, until what this returns is dropped.
@@ -82,6 +95,25 @@
         }
     }
 
+    /// Waits until the peer has closed its end while a request of it is served and nobody reads. Has to be polled
+    /// by the task that serves the connection, after it.
+    pub async fn left(&self, stream: &Shared) {
+        let mut look = pin!(sleep(LOOK_FOR_CLOSE));
+        poll_fn(|cx| {
+            loop {
+                if self.read.get() || !matches!(self.doing.get(), Doing::Served) {
+                    return Poll::Pending;
+                }
+                if has_closed(&stream.borrow()) {
+                    return Poll::Ready(());
+                }
+                ready!(look.as_mut().poll(cx));
+                look.as_mut().reset(Instant::now() + LOOK_FOR_CLOSE);
+            }
+        })
+        .await;
+    }
+
     /// When its peer has had all its time, as things stand. What is still to be written comes first: a request
     /// is done with here before a slow client has read the last of its answer.
     /// Failure: the ends of long answers, handed over but not yet taken, were cut off as idle.
@@ -129,6 +161,18 @@
 /// A client's connection, for whoever serves it and whoever looks after it.
 pub type Shared = Rc<RefCell<TokioIo<TcpStream>>>;
 
+/// Whether the peer has closed its end, or all of the connection; bytes before that may be unread.
+fn has_closed(stream: &TokioIo<TcpStream>) -> bool {
+    let stream = stream.inner();
+    let next = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
+    if next.map_or_else(|e| e.kind() != ErrorKind::WouldBlock, |n| n == 0) {
+        return true;
+    }
+    let state =
+        pin!(stream.ready(Interest::READABLE)).poll(&mut Context::from_waker(Waker::noop()));
+    matches!(state, Poll::Ready(Ok(state)) if state.is_read_closed())
+}
+
 /// Closes our end and reads on for a moment (RFC 9112, 9.6): closed over bytes that nobody read, a connection is
 /// reset, and the reset takes with it what its peer has not read of the last answer.
 pub async fn close(mut stream: TcpStream, crowded: bool) {
@@ -159,6 +203,7 @@
         buf: ReadBufCursor<'_>,
     ) -> Poll<std::io::Result<()>> {
         let read = Pin::new(&mut *self.inner.borrow_mut()).poll_read(cx, buf);
+        self.talk.read.set(read.is_pending());
         if let (Doing::Idle(_), Poll::Ready(Ok(()))) = (self.talk.doing.get(), &read) {
             self.talk.doing.set(Doing::Asking(Instant::now()));
         }
--- a/tests/crossings/mod.rs
+++ b/tests/crossings/mod.rs
@@ -2,12 +2,12 @@
 //! turns to something else. Each is made to come there every time, by a peer that holds back until it is let go.
 
 use std::io::{BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 
 use crate::stubs::*;
 
@@ -38,6 +38,10 @@
     stream
 }
 
+fn reset(stream: TcpStream) {
+    SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("an option");
+}
+
 // ---------------------------------------------------------------- closes and shutdowns
 
 #[test]
@@ -118,3 +122,93 @@
     assert_eq!(waits.answer().expect("an answer").status(), 503);
     assert_eq!(node.exit_code(), Some(0));
 }
+
+// ---------------------------------------------------------------- clients that leave
+
+/// The ways in which a client can be gone, each with what it left unread behind its request.
+const LEAVES: [(&str, usize); 8] = [
+    ("close", 0),
+    ("close", 5),
+    ("close", 40_000),
+    ("half-close", 0),
+    ("half-close", 200),
+    ("half-close", 40_000),
+    ("reset", 0),
+    ("reset", 40_000),
+];
+
+fn leave(stream: TcpStream, how: &str) -> Option<TcpStream> {
+    match how {
+        "half-close" => {
+            stream.shutdown(Shutdown::Write).expect("open");
+            Some(stream)
+        }
+        "reset" => {
+            reset(stream);
+            None
+        }
+        _ => None,
+    }
+}
+
+#[test]
+fn what_waits_for_a_slot_is_not_sent_for_a_client_that_has_gone() {
+    for (how, behind) in LEAVES {
+        let (upstream, go) = waits_for_a_word("ok");
+        let node = Node::start(&config(members(&[&upstream])));
+        let mut first = node.client();
+        first.send(&read("w1", 6000));
+        upstream.request();
+        let mut leaves = TcpStream::connect(node.address).expect("it accepts");
+        leaves.write_all(alarm("r2", 6000, "x").as_bytes()).expect("written");
+        pause(30);
+        leaves.write_all(&vec![b'P'; behind]).expect("written");
+        pause(30);
+        let _half = leave(leaves, how);
+        pause(100);
+        go.send(()).expect("it waits");
+        assert_eq!(first.answer().expect("an answer").status(), 200);
+        assert_eq!(node.client().ask(&read("r3", 5000)).status(), 200);
+        let next = upstream.request().1;
+        assert_eq!(next.header("x-request-id"), "r3", "{how} with {behind} bytes behind it");
+    }
+}
+
+#[test]
+fn what_is_sent_behind_the_head_in_one_piece_hides_no_close() {
+    let (upstream, go) = waits_for_a_word("ok");
+    let node = Node::start(&config(members(&[&upstream])));
+    let mut first = node.client();
+    first.send(&read("w1", 6000));
+    upstream.request();
+    let text = format!("{}{}", alarm("r2", 6000, "x"), alarm("r3", 6000, "x"));
+    let mut leaves = TcpStream::connect(node.address).expect("it accepts");
+    leaves.write_all(text.as_bytes()).expect("written");
+    pause(50);
+    drop(leaves);
+    pause(100);
+    go.send(()).expect("it waits");
+    assert_eq!(first.answer().expect("an answer").status(), 200);
+    assert_eq!(node.client().ask(&read("r4", 5000)).status(), 200);
+    assert_eq!(upstream.request().1.header("x-request-id"), "r4");
+}
+
+#[test]
+fn a_body_that_nobody_takes_hides_no_close() {
+    let (upstream, go) = waits_for_a_word("ok");
+    let node = Node::start(&config(members(&[&upstream])));
+    let mut first = node.client();
+    first.send(&read("w1", 6000));
+    upstream.request();
+    // Larger than what is kept: it waits, half read, for an upstream to take it.
+    let text = alarm("r2", 6000, &"x".repeat(400_000));
+    let mut leaves = TcpStream::connect(node.address).expect("it accepts");
+    leaves.write_all(&text.as_bytes()[..150_000]).expect("written");
+    pause(50);
+    drop(leaves);
+    pause(100);
+    go.send(()).expect("it waits");
+    assert_eq!(first.answer().expect("an answer").status(), 200);
+    assert_eq!(node.client().ask(&read("r3", 5000)).status(), 200);
+    assert_eq!(upstream.request().1.header("x-request-id"), "r3");
+}
