A head that has begun to come on a kept connection is served, also at shutdown

Symptom: a_head_that_has_begun_as_the_process_is_told_to_end_is_served fails before on a kept connection: it was closed without an answer in the middle of a head. Cause: hyper takes a kept connection for idle until a whole head was read, and forgets what it holds of one when it is told to close. On a new connection it does not (ruled out by the same test). Change: a connection on which part of a head came is not closed; its answer says Connection: close, and the limit on slow heads still holds.

--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -180,8 +180,13 @@
                 () = &mut lost => return Over::Lost,
                 () = &mut left => return Over::Left,
                 () = &mut time_to_close, if !closing => {
-                    connection.as_mut().graceful_shutdown();
-                    closing = true;
+                    if talk.asks_again() {
+                        // Its answer tells the client to go; closed now, hyper would forget what has come of it.
+                        time_to_close.set(self.lifecycle.time_to_close());
+                    } else {
+                        connection.as_mut().graceful_shutdown();
+                        closing = true;
+                    }
                 }
             }
         }
--- a/src/bin/hollowpaddle/talk.rs
+++ b/src/bin/hollowpaddle/talk.rs
@@ -55,6 +55,8 @@
     doing: Cell<Doing>,
     /// Since when its peer has taken none of what is to be written.
     unread: Cell<Option<Instant>>,
+    /// Whether a request was served on it.
+    kept: Cell<bool>,
     /// Whether it is read on, and its peer's close would be seen there. hyper stops reading once it holds bytes
     /// that are not of the request it serves, or of a body that nobody takes.
     read: Cell<bool>,
@@ -66,12 +68,14 @@
         Self {
             doing: Cell::new(Doing::Asking(Instant::now())),
             unread: Cell::new(None),
+            kept: Cell::new(false),
             read: Cell::new(true),
         }
     }
 
     /// A request is served from now on, until what this returns is dropped.
     pub fn turn(self: &Rc<Self>) -> Turn {
+        self.kept.set(true);
         let began = match self.doing.replace(Doing::Served) {
             Doing::Asking(since) => since,
             // It was read together with the one before.
@@ -95,6 +99,11 @@
         }
     }
 
+    /// Whether part of a further request has come.
+    pub fn asks_again(&self) -> bool {
+        self.kept.get() && matches!(self.doing.get(), Doing::Asking(_))
+    }
+
     /// Waits until the peer has closed its end while a request of it is served and nobody reads. Has to be polled
     /// by the task that serves the connection, after it.
     pub async fn left(&self, stream: &Shared) {
--- a/tests/crossings/mod.rs
+++ b/tests/crossings/mod.rs
@@ -89,6 +89,28 @@
     assert_eq!(upstream.request().1.header("x-request-id"), "r3");
 }
 
+#[test]
+fn a_head_that_has_begun_as_the_process_is_told_to_end_is_served() {
+    for kept in [true, false] {
+        let upstream = Upstream::start(|_| ok("ok"));
+        let mut node = Node::start(&config(members(&[&upstream])));
+        let mut client = node.client();
+        if kept {
+            assert_eq!(client.ask(&read("r1", 5000)).status(), 200);
+        }
+        let text = alarm("r2", 5000, "x");
+        let (a, b) = text.split_at(40);
+        client.send(a);
+        pause(50); // It is read.
+        node.signal("TERM");
+        pause(800); // Past the time for which idle connections stay.
+        client.send(b);
+        let answer = client.answer().expect("an answer");
+        assert_eq!((answer.status(), answer.header("connection")), (200, "close"), "kept: {kept}");
+        assert_eq!(node.exit_code(), Some(0));
+    }
+}
+
 #[test]
 fn a_request_that_crosses_with_the_end_of_an_idle_connection_is_served_or_not_sent_on() {
     let upstream = Upstream::start(|_| ok("ok"));
