All that was taken is answered before SIGKILL may come

Symptom: all_that_was_taken_is_answered_before_sigkill_may_come fails before: with 20 s deadlines and an upstream that hangs, what was taken had no answer 3.7 s after SIGTERM. Cause: after SIGTERM every request kept its whole deadline, though PROTOCOL allows SIGKILL after the longest deadline (3 s at most) and 0.7 s. What arrived in the last 0.3 s of accepting could be cut too. Change: the engine is told by when all has to be answered, from the settings, and holds every request to it: 503 for what was never sent, 504 for what may have run.

--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -36,6 +36,12 @@
 /// After the last accept, the longest wait for what was taken. Each request has its deadline and each body has
 /// to come on; the platform ends what takes longer than it allows.
 const FINISH: Duration = Duration::from_secs(60);
+/// SIGKILL may come so long after SIGTERM, and the longest deadline later, which is taken for this long at most
+/// (PROTOCOL, "Figures").
+const KILL_AFTER: Duration = Duration::from_millis(700);
+const LONGEST_BEFORE_KILL: Duration = Duration::from_secs(3);
+/// The last answers go out so long before.
+const BEFORE_KILL: Duration = Duration::from_millis(100);
 /// Wait after a failed accept, so that a full descriptor table does not become a busy loop.
 pub const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 /// No client waits longer than this; a figure beyond it is a mistake.
@@ -97,6 +103,7 @@
             () = self.accept(&listener) => {}
             () = stop => {}
         }
+        self.engine.ending(Instant::now() + self.time_to_end());
         // New connections still find us for a moment; where a newer process listens too, they find that one
         // as soon as we are gone. From here each answer asks its client to go elsewhere.
         let succeeded = mark.succeeded();
@@ -114,6 +121,13 @@
         mark.take_back();
     }
 
+    /// How long after SIGTERM the last answer has to be out.
+    fn time_to_end(&self) -> Duration {
+        let longest = self.facts.services.iter().map(|s| s.deadline.max(0.0)).fold(0.0, f64::max);
+        let longest = Duration::try_from_secs_f64(longest / 1000.0).unwrap_or(Duration::MAX);
+        longest.min(LONGEST_BEFORE_KILL) + KILL_AFTER - BEFORE_KILL
+    }
+
     /// Accepts what waits, and closes the listener with an empty queue: what a close finds there is reset.
     fn take_the_rest(self: &Rc<Self>, listener: TcpListener) {
         let Ok(listener) = listener.into_std() else { return };
--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -53,6 +53,8 @@
         ended: Ended,
     },
     DiscoveryMoved(Vec<SocketAddr>),
+    /// The process ends; by then all that was taken has to be answered.
+    Ending(Instant),
     /// How many upstreams the list names, and how many of them the module avoids.
     Pool(oneshot::Sender<(usize, usize)>),
 }
@@ -94,6 +96,11 @@
         let _ = self.notes.send(Note::DiscoveryMoved(addresses));
     }
 
+    /// All that is taken, now or later, is answered by then.
+    pub fn ending(&self, by: Instant) {
+        let _ = self.notes.send(Note::Ending(by));
+    }
+
     /// How many upstreams the list names, and how many of them get nothing now.
     pub async fn pool(&self) -> (usize, usize) {
         let (reply, answer) = oneshot::channel();
@@ -201,6 +208,8 @@
     ready: Rc<Cell<bool>>,
     figures: Rc<Figures>,
     keeper: Option<Keeper>,
+    /// Once the process ends: no answer may be later.
+    ending: Option<Instant>,
     /// To the client of the list.
     orders: mpsc::UnboundedSender<Order>,
     /// A timer that fires so late tells that the process stood still.
@@ -278,6 +287,7 @@
             ready,
             figures,
             keeper,
+            ending: None,
             orders,
             stall: grace / STALL_OF_GRACE,
             _client: AbortOnDrop(tokio::task::spawn_local(client)),
@@ -357,6 +367,11 @@
             }
             // At once: the old address soon ends its watch, and what is missed meanwhile counts as told.
             Note::DiscoveryMoved(addresses) => self.order(Order::Moved(addresses)),
+            Note::Ending(by) => {
+                self.ending = Some(by);
+                let held = self.requests.keys().map(|id| Reverse((by, Due::Deadline(*id))));
+                self.timers.extend(held);
+            }
             Note::Pool(reply) => {
                 let _ = reply.send(self.balancer.pool(self.clock.now()));
             }
@@ -387,7 +402,8 @@
         forward: Box<Forward>,
         reply: oneshot::Sender<Reply>,
     ) {
-        let until = arrival.until - HEADROOM;
+        let latest = self.latest(arrival.until);
+        let until = latest - HEADROOM;
         let whole = forward.body.rest.as_ref().is_none_or(|r| r.is_whole());
         let coming = (!whole).then(|| arrival.until.saturating_duration_since(Instant::now()));
         let held = Held {
@@ -400,8 +416,9 @@
             last: None,
         };
         self.requests.insert(id, held);
-        if coming.is_none() {
-            self.timers.push(Reverse((arrival.until - BACKSTOP, Due::Deadline(id))));
+        let deadline = if coming.is_none() { Some(latest) } else { self.ending };
+        if let Some(at) = deadline {
+            self.timers.push(Reverse((at - BACKSTOP, Due::Deadline(id))));
         }
         let request = d::Request {
             class: arrival.class,
@@ -420,15 +437,28 @@
         let Some(held) = self.requests.get_mut(&id) else { return };
         let Some(time) = held.coming.take() else { return };
         let now = Instant::now();
-        held.until = now + time.saturating_sub(HEADROOM);
+        let latest = self.ending.map_or(now + time, |by| by.min(now + time));
+        held.until = latest - HEADROOM;
         held.attempts.iter_mut().filter(|a| a.task.is_some()).for_each(|a| a.sent = now);
-        self.timers.push(Reverse((now + time - BACKSTOP.min(time), Due::Deadline(id))));
+        self.timers.push(Reverse((latest - BACKSTOP, Due::Deadline(id))));
         self.tell(Event::Whole(id));
     }
 
-    /// Guards against a request that the module still owes its answer when the client is about to give up.
+    /// When a client that waits until then has to be answered.
+    fn latest(&self, until: Instant) -> Instant {
+        self.ending.map_or(until, |by| by.min(until))
+    }
+
+    /// Guards against a request that the module still owes its answer when the client, or the platform, is about
+    /// to give up.
     fn overdue(&mut self, id: RequestId) {
-        if self.answer(id, Reply::Failed { late: true }) {
+        let untried = self.requests.get(&id).is_some_and(|h| h.attempts.is_empty());
+        let reply = if untried {
+            Reply::Refused { retry_after: Span(0) }
+        } else {
+            Reply::Failed { late: true }
+        };
+        if self.answer(id, reply) {
             let request = self.requests.get(&id).and_then(|h| h.forward.id());
             tracing::warn!(request, "answered at the deadline");
             self.tell(Event::Left(id));
--- a/tests/crossings/mod.rs
+++ b/tests/crossings/mod.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use serde_json::json;
 use socket2::{Domain, SockRef, Socket, Type};
 
 use crate::stubs::*;
@@ -134,6 +135,43 @@
     assert_eq!(upstream.requests_so_far(), answered, "what went on was answered, and nothing else");
 }
 
+#[test]
+fn all_that_was_taken_is_answered_before_sigkill_may_come() {
+    // One hangs for good; the other takes none that waits for a slot.
+    let hangs = Upstream::start(|_| Does::Hangs);
+    let mut config = config(members(&[&hangs]));
+    for class in 0..3 {
+        config["settings"]["Services"][class]["Aim"] = json!(20_000.0);
+        config["settings"]["Services"][class]["Deadline"] = json!(20_000.0);
+    }
+    let mut node = Node::start(&config);
+    let mut out = node.client();
+    out.send(&alarm("r1", 20_000, "x"));
+    hangs.request();
+    let mut queued = node.client();
+    queued.send(&alarm("r2", 20_000, "x"));
+    let mut half = node.client();
+    let text = alarm("r3", 20_000, &"x".repeat(200_000));
+    half.send(&text[..text.len() - 1]);
+    let from = Instant::now();
+    node.signal("TERM");
+    // Twice, and beside a word on discovery: neither begins anything anew.
+    pause(300);
+    node.signal("TERM");
+    node.signal("HUP");
+    let mut late = node.client();
+    late.send(&alarm("r4", 20_000, "x"));
+    assert_eq!(out.answer().expect("an answer").status(), 504, "it may have run");
+    assert_eq!(queued.answer().expect("an answer").status(), 503, "it never ran");
+    assert!(matches!(half.answer().expect("an answer").status(), 408 | 503 | 504));
+    assert_eq!(late.answer().expect("an answer").status(), 503);
+    // PROTOCOL: the longest deadline, 3 s at most, and 0.7 s.
+    assert!(from.elapsed() < Duration::from_millis(3700), "{:?}", from.elapsed());
+    drop((out, queued, half, late));
+    assert_eq!(node.exit_code(), Some(0));
+    assert_eq!(hangs.requests_so_far(), 0, "only the first had a slot");
+}
+
 #[test]
 fn sigterm_before_readiness_ends_it_and_leaves_nobody_without_an_answer() {
     let mut node = Node::start(&config(vec![]));
