A repeat does not begin after its window, however long its connection took

Symptom: a_repeat_whose_window_passes_while_it_waits_for_its_connection_is_not_sent fails before: a keyed request, begun at one upstream that broke off, was written to another 1.1 s later with a window of 1 s. Cause: the module looks at the window when it decides; a connection that comes up late (up to the connect timeout) writes the repeat after it. Ruled out: a client's own time and a drain were asked about right before the write already. Change: Action::Send says until when the attempt may begin, and the engine asks right before it writes.

--- a/src/bin/hollowpaddle-benchlink/instance.rs
+++ b/src/bin/hollowpaddle-benchlink/instance.rs
@@ -194,7 +194,7 @@
         let mut actions = std::mem::take(&mut self.actions);
         for action in actions.drain(..) {
             match action {
-                Action::Send { request, server, timeout } => {
+                Action::Send { request, server, timeout, .. } => {
                     let Some(job) = self.jobs.get_mut(&request.0) else { continue };
                     job.out += 1;
                     let upstream = &self.server_names[server.0 as usize];
--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -543,7 +543,9 @@
 
     fn carry_out(&mut self, action: Action) {
         match action {
-            Action::Send { request, server, timeout } => self.send(request, server, timeout),
+            Action::Send { request, server, timeout, before } => {
+                self.send(request, server, timeout, before);
+            }
             Action::Refuse { request, retry_after } => {
                 self.answer(request, Reply::Refused { retry_after });
                 self.forget(request);
@@ -570,7 +572,7 @@
         }
     }
 
-    fn send(&mut self, id: RequestId, server: ServerId, allow: Span) {
+    fn send(&mut self, id: RequestId, server: ServerId, allow: Span, before: Time) {
         let Some(held) = self.requests.get_mut(&id) else { return };
         let (now, attempt) = (Instant::now(), held.attempts.len());
         let allowed =
@@ -588,8 +590,9 @@
         };
         let (pool, notes) = (self.pool.clone(), self.own_notes.clone());
         let (forward, live) = (held.forward.clone(), held.live.clone());
+        let before = self.clock.instant(before);
         tried.task = Some(AbortOnDrop(tokio::task::spawn_local(async move {
-            let live = || live.get();
+            let live = || live.get() && Instant::now() < before;
             let ended = pool.attempt(server, &target, &forward, until, live).await;
             let _ = notes.send(Note::Ended { id, attempt, ended });
         })));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -548,6 +548,8 @@
         server: ServerId,
         /// Time-out of the attempt.
         timeout: Span,
+        /// From then on it must not begin any more, however long its connection took.
+        before: Time,
     },
     /// End it unserved; it is harmless to come again.
     Refuse {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -668,6 +668,7 @@
         let Some(e) = self.requests.get_mut(&id) else { return };
         e.held = false;
         let first = e.attempts.is_empty();
+        let before = e.begin_until(&self.settings.classes[e.class]);
         self.out.push((id, e.attempts.len()));
         // While its body is coming the upstream has nothing to do, and no slot is taken.
         e.attempts.push(Attempt { freed: e.coming, ..Attempt::new(server, now) });
@@ -677,7 +678,7 @@
         if first {
             self.extra = (self.extra + EXTRA).min(self.rooms[0].slots.max(1.0));
         }
-        out.push(Action::Send { request: id, server: self.servers[server].id, timeout });
+        out.push(Action::Send { request: id, server: self.servers[server].id, timeout, before });
     }
 }
 
@@ -705,20 +706,21 @@
         if s.status != Status::Live || !self.open_to(Some(e.class), s) {
             return false;
         }
-        if e.ended || e.spent || now >= e.drop_dead || e.attempts.len() >= limits.max_attempts {
+        let class = &self.settings.classes[e.class];
+        let over = e.ended || e.spent || now >= e.begin_until(class);
+        if over || e.attempts.len() >= limits.max_attempts {
             return false;
         }
         let there = |a: &Attempt| a.fate == Fate::Out && a.server == server;
         if e.out() && (!limits.second_copies || e.coming || e.attempts.iter().any(there)) {
             return false;
         }
-        let class = &self.settings.classes[e.class];
         match class.effect {
             Effect::Safe => true,
             Effect::Unsafe => e.all_never_ran(),
-            Effect::Keyed => e.attempts.iter().filter(|a| a.fate != Fate::NeverRan).all(|a| {
-                now.since(a.sent) < class.window && self.same_group(class.group, a.server, server)
-            }),
+            Effect::Keyed => {
+                e.may_have_run().all(|a| self.same_group(class.group, a.server, server))
+            }
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -120,6 +120,15 @@
     pub(crate) fn out(&self) -> bool {
         self.attempts.iter().any(|a| a.fate == Fate::Out)
     }
+    /// Until when an attempt may begin: the request's own time, and where it is keyed the window of each that may
+    /// have run.
+    pub(crate) fn begin_until(&self, class: &Class) -> Time {
+        let keyed = self.may_have_run().filter(|_| class.effect == Effect::Keyed);
+        keyed.map(|a| a.sent.plus(class.window)).fold(self.drop_dead, Time::min)
+    }
+    pub(crate) fn may_have_run(&self) -> impl Iterator<Item = &Attempt> {
+        self.attempts.iter().filter(|a| a.fate != Fate::NeverRan)
+    }
     pub(crate) fn all_never_ran(&self) -> bool {
         self.attempts.iter().all(|a| a.fate == Fate::NeverRan)
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -298,7 +298,9 @@
         for action in std::mem::take(&mut self.actions) {
             self.log.push(action);
             match action {
-                Action::Send { request, server, timeout } => self.sent(request.0, server, timeout),
+                Action::Send { request, server, timeout, before } => {
+                    self.sent(request.0, server, timeout, before);
+                }
                 Action::Refuse { request, .. } => {
                     let class = &self.settings.classes[self.asked[&request.0].class];
                     let ran = self.asked[&request.0].tries.iter().any(may_have_run);
@@ -328,7 +330,7 @@
         asked.over = true;
     }
 
-    fn sent(&mut self, id: u64, server: ServerId, timeout: Span) {
+    fn sent(&mut self, id: u64, server: ServerId, timeout: Span, begins_before: Time) {
         let asked = &self.asked[&id];
         assert!(!asked.over, "sent {id} after its end");
         assert!(self.now < asked.drop_dead && timeout.0 > 0);
@@ -345,7 +347,9 @@
                 Group::Zone => self.zone(before.server) == self.zone(server),
                 Group::Cell => self.members[&before.server.0].cell == self.members[&server.0].cell,
             };
-            let kept = self.now.since(before.sent) < class.window;
+            let window = before.sent.plus(class.window);
+            let kept =
+                self.now < window && (class.effect != Effect::Keyed || begins_before <= window);
             let allowed = match class.effect {
                 Effect::Safe => true,
                 Effect::Keyed => same && kept,
--- a/tests/crossings/mod.rs
+++ b/tests/crossings/mod.rs
@@ -1,8 +1,9 @@
 //! What comes between two lines: a request, an answer, a close or a signal in the moment in which the proxy
 //! turns to something else. Each is made to come there every time, by a peer that holds back until it is let go.
 
-use std::io::{BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -253,13 +254,63 @@
     assert_eq!(upstream.request().1.header("x-request-id"), "r4");
 }
 
+/// Tells the id of each request as soon as its head is there, whatever becomes of its body; answers `ok`, those
+/// whose id begins with `w` once there is a word.
+fn tells_heads() -> (SocketAddr, Receiver<String>, Sender<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (tell, heads) = channel();
+    let (go, waits) = channel();
+    let waits = Arc::new(Mutex::new(waits));
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (stream, tell, waits) = (stream.expect("accepted"), tell.clone(), waits.clone());
+            std::thread::spawn(move || answer_heads(stream, &tell, &waits));
+        }
+    });
+    (address, heads, go)
+}
+
+fn answer_heads(stream: TcpStream, tell: &Sender<String>, waits: &Mutex<Receiver<()>>) {
+    let mut out = stream.try_clone().expect("a second handle");
+    let mut reader = BufReader::new(stream);
+    loop {
+        let (mut id, mut length) = (String::new(), 0);
+        loop {
+            let mut line = String::new();
+            if reader.read_line(&mut line).unwrap_or(0) == 0 {
+                return;
+            }
+            let line = line.trim_end().to_lowercase();
+            if let Some(value) = line.strip_prefix("x-request-id: ") {
+                id = value.to_owned();
+            }
+            if let Some(value) = line.strip_prefix("content-length: ") {
+                length = value.parse().expect("a length");
+            }
+            if line.is_empty() {
+                break;
+            }
+        }
+        let _ = tell.send(id.clone());
+        if std::io::copy(&mut (&mut reader).take(length), &mut std::io::sink()).ok() != Some(length)
+        {
+            return;
+        }
+        if id.starts_with('w') {
+            let _ = waits.lock().expect("not poisoned").recv_timeout(SOON);
+        }
+        let _ = out.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    }
+}
+
 #[test]
 fn a_body_that_nobody_takes_hides_no_close() {
-    let (upstream, go) = waits_for_a_word("ok");
-    let node = Node::start(&config(members(&[&upstream])));
+    let (address, heads, go) = tells_heads();
+    let node = Node::start(&config(vec![member("s-0", address, "SERVING")]));
     let mut first = node.client();
     first.send(&read("w1", 6000));
-    upstream.request();
+    assert_eq!(heads.recv_timeout(SOON).expect("a head"), "w1");
     // Larger than what is kept: it waits, half read, for an upstream to take it.
     let text = alarm("r2", 6000, &"x".repeat(400_000));
     let mut leaves = TcpStream::connect(node.address).expect("it accepts");
@@ -270,5 +321,156 @@
     go.send(()).expect("it waits");
     assert_eq!(first.answer().expect("an answer").status(), 200);
     assert_eq!(node.client().ask(&read("r3", 5000)).status(), 200);
-    assert_eq!(upstream.request().1.header("x-request-id"), "r3");
+    assert_eq!(heads.recv_timeout(SOON).expect("a head"), "r3");
+}
+
+#[test]
+fn what_was_turned_away_is_not_sent_again_for_a_client_that_has_gone() {
+    for (how, behind) in LEAVES {
+        let (go, waits) = channel();
+        let waits: Arc<Mutex<Receiver<()>>> = Arc::new(Mutex::new(waits));
+        let asked = Arc::new(AtomicUsize::new(0));
+        let start = || {
+            let (waits, asked) = (waits.clone(), asked.clone());
+            Upstream::start(move |_| {
+                if asked.fetch_add(1, Ordering::SeqCst) > 0 {
+                    return ok("ok");
+                }
+                let _ = waits.lock().expect("not poisoned").recv_timeout(SOON);
+                answers("503 Service Unavailable", "X-Not-Run: 1\r\n")
+            })
+        };
+        let pair = [start(), start()];
+        let node = Node::start(&config(members(&[&pair[0], &pair[1]])));
+        let mut leaves = TcpStream::connect(node.address).expect("it accepts");
+        leaves.write_all(alarm("r1", 6000, "x").as_bytes()).expect("written");
+        let from = Instant::now();
+        while asked.load(Ordering::SeqCst) == 0 {
+            assert!(from.elapsed() < SOON, "nothing is sent");
+        }
+        leaves.write_all(&vec![b'P'; behind]).expect("written");
+        pause(30);
+        let _half = leave(leaves, how);
+        pause(100);
+        go.send(()).expect("it waits");
+        pause(100);
+        assert_eq!(asked.load(Ordering::SeqCst), 1, "{how} with {behind} bytes behind it");
+    }
+}
+
+/// An upstream whose connections come up only once it is told to accept them: its backlog is full until then.
+/// Afterwards it tells how much came on each.
+struct Late {
+    listener: TcpListener,
+    address: SocketAddr,
+    fillers: Vec<TcpStream>,
+}
+
+impl Late {
+    fn start() -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+        socket.listen(1).expect("listening");
+        let listener = TcpListener::from(socket);
+        let address = listener.local_addr().expect("an address");
+        let fill = || TcpStream::connect_timeout(&address, Duration::from_millis(300));
+        let fillers: Vec<TcpStream> = std::iter::from_fn(|| fill().ok()).take(64).collect();
+        assert!(fillers.len() < 64, "the backlog does not fill");
+        Self { listener, address, fillers }
+    }
+
+    /// Accepts from now on; the bytes of each connection's first read.
+    fn open(self) -> Receiver<usize> {
+        let (tell, seen) = channel();
+        drop(self.fillers);
+        std::thread::spawn(move || {
+            for stream in self.listener.incoming() {
+                let (mut stream, tell) = (stream.expect("accepted"), tell.clone());
+                std::thread::spawn(move || {
+                    let _ = tell.send(stream.read(&mut [0; 64]).unwrap_or(0));
+                });
+            }
+        });
+        seen
+    }
+}
+
+fn nothing_came(seen: &Receiver<usize>) -> bool {
+    // The system tries again to connect after 1, 2 and 4 s.
+    let until = Instant::now() + Duration::from_millis(4500);
+    while let Ok(bytes) = seen.recv_timeout(until.saturating_duration_since(Instant::now())) {
+        if bytes > 0 {
+            return false;
+        }
+    }
+    true
+}
+
+fn slow_to_connect(known: Vec<serde_json::Value>) -> serde_json::Value {
+    let mut config = config(known);
+    config["settings"]["PolicyLimits"]["ConnectTimeout"] = json!(20_000.0);
+    for class in 0..3 {
+        config["settings"]["Services"][class]["Aim"] = json!(20_000.0);
+        config["settings"]["Services"][class]["Deadline"] = json!(20_000.0);
+    }
+    config
+}
+
+#[test]
+fn what_waits_for_its_connection_is_not_sent_for_a_client_that_has_gone() {
+    let late = Late::start();
+    let node = Node::start(&slow_to_connect(vec![member("s-0", late.address, "SERVING")]));
+    let gone: Vec<Option<TcpStream>> = LEAVES
+        .into_iter()
+        .map(|(how, behind)| {
+            let mut leaves = TcpStream::connect(node.address).expect("it accepts");
+            leaves.write_all(alarm("r1", 20_000, "x").as_bytes()).expect("written");
+            pause(30); // The first is on its way, and cannot come up; the others are queued.
+            leaves.write_all(&vec![b'P'; behind]).expect("written");
+            pause(10);
+            leave(leaves, how)
+        })
+        .collect();
+    pause(100);
+    assert!(nothing_came(&late.open()), "it was sent all the same");
+    drop(gone);
+}
+
+// ---------------------------------------------------------------- repeats
+
+/// A request of the class that may be repeated within its window, at upstreams of one cell.
+fn log(id: &str, deadline_ms: u64) -> String {
+    format!(
+        "POST /api HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: {id}\r\nX-Class: log\r\n\
+         Idempotency-Key: k-{id}\r\nX-Deadline-Ms: {deadline_ms}\r\nContent-Length: 1\r\n\r\nx"
+    )
+}
+
+#[test]
+fn a_repeat_whose_window_passes_while_it_waits_for_its_connection_is_not_sent() {
+    let late = Late::start();
+    let (go, waits) = channel();
+    let waits: Arc<Mutex<Receiver<()>>> = Arc::new(Mutex::new(waits));
+    // It has begun on it, and breaks off.
+    let breaks = Upstream::start(move |_| {
+        let _ = waits.lock().expect("not poisoned").recv_timeout(SOON);
+        Does::Ends(String::new())
+    });
+    let mut config = slow_to_connect(vec![member("s-0", breaks.address, "SERVING")]);
+    config["settings"]["Services"][1]["Window"] = json!(1000.0);
+    let node = Node::start(&config);
+    let (_, mut watch) = node.discovery.watch();
+    let mut client = node.client();
+    client.send(&log("r1", 20_000));
+    breaks.request();
+    // From here on only the other one serves.
+    let list = json!({"revision": 42, "complete": true,
+        "members": [member("s-1", late.address, "SERVING")]});
+    chunk(&mut watch, &format!("{list}\n"));
+    pause(100);
+    go.send(()).expect("it waits"); // Within the window a repeat is on its way, and cannot come up.
+    pause(1000);
+    let seen = late.open();
+    assert_eq!(client.answer().expect("an answer").status(), 502, "it may have run");
+    assert!(nothing_came(&seen), "repeated after its window");
 }
