An answer that never ends is ended soon after its client's time

Cause: an answer of unknown size is passed on after 20 ms, and from there only a stall of 8 s ended it. Ruled out: one with a length, without any body byte, or without length and kept back is answered 504 in time. Measured: four ways not to end, drops for 10 s, and a slow large answer of 100 kB that is not cut.

--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -270,6 +270,7 @@
             uri: origin_form(head.uri),
             headers: onward(head.headers, length),
             body: Payload { kept, rest, length, _hold: hold },
+            until: Cell::new(arrival.until),
         };
         let reply = match self.engine.ask(arrival, forward, &take).await {
             Ok(reply) => reply,
--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -403,6 +403,7 @@
         reply: oneshot::Sender<Reply>,
     ) {
         let latest = self.latest(arrival.until);
+        forward.until.set(latest);
         let until = latest - HEADROOM;
         let whole = forward.body.rest.as_ref().is_none_or(|r| r.is_whole());
         let coming = (!whole).then(|| arrival.until.saturating_duration_since(Instant::now()));
@@ -439,6 +440,7 @@
         let now = Instant::now();
         let latest = self.ending.map_or(now + time, |by| by.min(now + time));
         held.until = latest - HEADROOM;
+        held.forward.until.set(latest);
         held.attempts.iter_mut().filter(|a| a.task.is_some()).for_each(|a| a.sent = now);
         self.timers.push(Reverse((latest - BACKSTOP, Due::Deadline(id))));
         self.tell(Event::Whole(id));
--- a/src/bin/hollowpaddle/upstreams.rs
+++ b/src/bin/hollowpaddle/upstreams.rs
@@ -44,6 +44,10 @@
 const WHOLE_WITHIN: Duration = Duration::from_millis(20);
 /// An upstream that neither takes nor gives a byte for so long, in the middle of a body, is given up.
 const STALL: Duration = Duration::from_secs(8);
+/// An answer that may be small has to end this long after its client's time at the latest (STANDING: half a second).
+const END_WITHIN: Duration = Duration::from_millis(300);
+/// Bytes a second from which on an answer of unknown size passes for a large one, however little of it came yet.
+const LARGE_RATE: f64 = 24_000.0;
 /// How often that is looked at.
 const STALL_STEP: Duration = Duration::from_secs(1);
 
@@ -53,6 +57,8 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: Payload,
+    /// When its client gives up; set anew once its body is whole.
+    pub until: Cell<Instant>,
 }
 
 impl Forward {
@@ -376,14 +382,14 @@
                 Err(_) if sent.never_whole() => return Ended::bare(Outcome::ConnectFailed),
                 Err(_) => return Ended::bare(Outcome::Reset),
             };
-            return self.answer(forward.id(), server, link, answer).await;
+            return self.answer(forward, server, link, answer).await;
         }
     }
 
     /// Reads an answer to its end, or, where it is large, its first part; only then is it one.
     async fn answer(
         self: &Rc<Self>,
-        request: Option<&str>,
+        forward: &Forward,
         server: ServerId,
         link: Link,
         answer: Response<Incoming>,
@@ -412,7 +418,8 @@
             self.give_back(server, link).await;
             None
         } else {
-            Some(Relay::new(request, body, (self.clone(), server, link)))
+            let back = (self.clone(), server, link);
+            Some(Relay::new(forward, body, kept.len(), length, back))
         };
         let response =
             serves.then(|| Box::new(Response::from_parts(head, Served { kept, rest, hold })));
@@ -490,14 +497,48 @@
     body: Incoming,
     back: Option<(Rc<Pool>, ServerId, Link)>,
     since: Option<Instant>,
+    began: Instant,
+    /// By when it has to be over, unless it is large.
+    end_by: Instant,
+    /// Its whole size, or what has come so far; and whether it is the size.
+    size: u64,
+    sized: bool,
     timer: Pin<Box<Sleep>>,
     over: bool,
 }
 
 impl Relay {
-    fn new(request: Option<&str>, body: Incoming, back: (Rc<Pool>, ServerId, Link)) -> Self {
-        let (request, timer) = (request.map(str::to_owned), Box::pin(sleep(STALL)));
-        Self { request, body, back: Some(back), since: None, timer, over: false }
+    /// Of an answer of which so much is passed on already, and its whole size where that is known.
+    fn new(
+        forward: &Forward,
+        body: Incoming,
+        kept: usize,
+        length: Option<u64>,
+        back: (Rc<Pool>, ServerId, Link),
+    ) -> Self {
+        Self {
+            request: forward.id().map(str::to_owned),
+            body,
+            back: Some(back),
+            since: None,
+            began: Instant::now(),
+            end_by: forward.until.get() + END_WITHIN,
+            size: length.unwrap_or(kept as u64),
+            sized: length.is_some(),
+            timer: Box::pin(sleep(STALL)),
+            over: false,
+        }
+    }
+
+    /// How long its next piece is waited for, from now on. Of a large answer its first bytes are what is timed;
+    /// any other has to end, or be seen to be cut, soon after its client's time.
+    fn patience(&self, now: Instant) -> Instant {
+        let stalled = now + STALL;
+        if self.size > KEPT as u64 {
+            return stalled;
+        }
+        let pace = if self.sized { 0.0 } else { self.size as f64 / LARGE_RATE };
+        stalled.min(self.end_by.max(self.began + Duration::from_secs_f64(pace)))
     }
 
     /// What is left of it, where that is known.
@@ -525,6 +566,9 @@
                     self.since = None;
                     // Trailers concern nobody here.
                     let Ok(data) = frame.into_data() else { continue };
+                    if !self.sized {
+                        self.size += data.len() as u64;
+                    }
                     if self.body.is_end_stream() {
                         self.end();
                     }
@@ -542,7 +586,8 @@
                     if self.since.is_none() {
                         let now = Instant::now();
                         self.since = Some(now);
-                        self.timer.as_mut().reset(now + STALL);
+                        let until = self.patience(now);
+                        self.timer.as_mut().reset(until);
                     }
                     ready!(self.timer.as_mut().poll(cx));
                     tracing::info!(request = self.request, "an answer stalled on its way");
@@ -643,6 +688,7 @@
             uri: Uri::from_static("/api"),
             headers: HeaderMap::new(),
             body: Payload { kept: Bytes::from_static(b"0123456789"), ..Payload::default() },
+            until: Cell::new(Instant::now()),
         };
         let sent = Sent::default();
         assert!(sent.untouched() && sent.never_whole(), "no connection yet");
--- a/tests/crossings/mod.rs
+++ b/tests/crossings/mod.rs
@@ -474,3 +474,111 @@
     assert_eq!(client.answer().expect("an answer").status(), 502, "it may have run");
     assert!(nothing_came(&seen), "repeated after its window");
 }
+
+/// An upstream that is handed each request's number, and its connection; that is kept while it says so.
+fn scripted(does: impl Fn(usize, &mut TcpStream) -> bool + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (does, asked) = (Arc::new(does), Arc::new(AtomicUsize::new(0)));
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("accepted");
+            let (does, asked) = (does.clone(), asked.clone());
+            std::thread::spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
+                while read_message(&mut reader).is_some()
+                    && does(asked.fetch_add(1, Ordering::SeqCst), &mut stream)
+                {}
+            });
+        }
+    });
+    address
+}
+
+#[test]
+fn an_answer_that_never_ends_is_ended_in_time() {
+    let head = "HTTP/1.1 200 OK\r\n";
+    let starts = [
+        format!("{head}Content-Length: 100\r\n\r\nhalf"),
+        format!("{head}Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"),
+        format!("{head}\r\nhalf"),
+        head.to_owned(),
+    ];
+    for start in starts {
+        let text = start.clone();
+        let address = scripted(move |_, stream| stream.write_all(text.as_bytes()).is_ok());
+        let node = Node::start(&config(vec![member("s-0", address, "SERVING")]));
+        let mut client = TcpStream::connect(node.address).expect("it accepts");
+        client.set_read_timeout(Some(SOON)).expect("a time");
+        let from = Instant::now();
+        client.write_all(alarm("r1", 1000, "x").as_bytes()).expect("written");
+        let mut reader = BufReader::new(client);
+        let mut answer = String::new();
+        // Either an answer of ours, or one that is seen not to be whole.
+        while !answer.ends_with("\r\n\r\n") && reader.read_line(&mut answer).is_ok_and(|n| n > 0) {}
+        if answer.starts_with("HTTP/1.1 200") {
+            let mut rest = Vec::new();
+            let _ = reader.read_to_end(&mut rest);
+            let rest = String::from_utf8_lossy(&rest);
+            assert!(!rest.ends_with("0\r\n\r\n"), "passed for whole: {start}");
+            assert!(answer.to_lowercase().contains("transfer-encoding: chunked"), "{answer}");
+        } else {
+            assert!(answer.starts_with("HTTP/1.1 504"), "{answer} to {start}");
+        }
+        assert!(from.elapsed() < Duration::from_millis(1500), "{:?}: {start}", from.elapsed());
+    }
+}
+
+/// Writes chunks of `size` bytes, `n` of them, so many milliseconds apart; the last one ends the answer if it `ends`.
+fn drip(stream: &mut TcpStream, n: usize, size: usize, apart_ms: u64, ends: bool) -> bool {
+    let mut written = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for _ in 0..n {
+        written = written.and_then(|()| stream.write_all(&piece(size)));
+        pause(apart_ms);
+    }
+    written.and_then(|()| if ends { stream.write_all(b"0\r\n\r\n") } else { Ok(()) }).is_ok()
+}
+
+fn piece(size: usize) -> Vec<u8> {
+    format!("{size:x}\r\n{}\r\n", "x".repeat(size)).into_bytes()
+}
+
+#[test]
+fn an_answer_in_drops_is_ended_in_time_and_a_large_slow_one_is_not_cut() {
+    let node_of = |does: fn(&mut TcpStream) -> bool| {
+        let address = scripted(move |_, stream| does(stream));
+        let known = vec![member("s-0", address, "SERVING")];
+        Node::start(&config(known))
+    };
+    let ask = |node: &Node, deadline_ms| {
+        let mut client = TcpStream::connect(node.address).expect("it accepts");
+        client.set_read_timeout(Some(SOON)).expect("a time");
+        let last = alarm("r1", deadline_ms, "x").replace("Host", "Connection: close\r\nHost");
+        client.write_all(last.as_bytes()).expect("written");
+        let mut answer = Vec::new();
+        let _ = client.read_to_end(&mut answer);
+        answer
+    };
+    let drops = node_of(|stream| drip(stream, 200, 1, 50, false));
+    let from = Instant::now();
+    let answer = ask(&drops, 1000);
+    assert!(!answer.ends_with(b"0\r\n\r\n"), "it passed for whole");
+    assert!(from.elapsed() < Duration::from_millis(1500), "{:?}", from.elapsed());
+    // 50 kB a second, for four times as long as the client would wait for a small one.
+    let large = node_of(|stream| drip(stream, 50, 2000, 40, true));
+    let answer = ask(&large, 500);
+    assert!(answer.ends_with(b"0\r\n\r\n"), "cut after {} bytes", answer.len());
+}
+
+#[test]
+fn an_answer_without_length_that_is_reset_is_never_whole() {
+    let address = scripted(|_, stream| {
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nhalf of it");
+        pause(5); // It has arrived, and could pass for all.
+        SockRef::from(&*stream).set_linger(Some(Duration::ZERO)).expect("an option");
+        false
+    });
+    let node = Node::start(&config(vec![member("s-0", address, "SERVING")]));
+    let answer = node.client().ask(&alarm("r1", 5000, "x"));
+    assert_eq!(answer.status(), 502);
+}
