After an upstream spoke out of turn, its connections rest before they are used again

Symptom: a probe (an upstream that answers twice, 2 or 8 ms apart, with a request queued) served the second answer to the next client. Cause: a connection is used again in the moment its answer is whole, and HTTP/1.1 has nothing that ties an answer to its request. Ruled out: what comes on a resting connection ends it, and bytes already there are seen before a write. Change: for 60 s after an upstream said something unasked its connections rest 10 ms. The first second answer that crosses within those ms cannot be told from the next request's. The test fails without the rest.

--- a/src/bin/hollowpaddle/upstreams.rs
+++ b/src/bin/hollowpaddle/upstreams.rs
@@ -36,6 +36,11 @@
 const IDLE_OF_KEEPALIVE: f64 = 0.75;
 /// How often idle connections are looked through.
 const REAP_EVERY: Duration = Duration::from_millis(250);
+/// How long a connection rests after an answer before it carries another request, at an upstream that was seen to
+/// speak out of turn lately: it may answer twice, some milliseconds apart (STANDING), and nothing tells a second
+/// answer from that to the next request. On a connection that rests it is seen, and ends the connection.
+const REST: Duration = Duration::from_millis(10);
+const LATELY: Duration = Duration::from_secs(60);
 /// How long a connection may take to be ready again once its answer is whole.
 const READY: Duration = Duration::from_millis(10);
 
@@ -169,17 +174,31 @@
     stream: Weak<RefCell<TokioIo<TcpStream>>>,
     address: SocketAddr,
     idle_since: Instant,
+    /// Whether an attempt uses it.
+    asked: Rc<Cell<bool>>,
     _connection: AbortOnDrop,
 }
 
+/// What has come on a connection on which nothing is asked.
+enum Rest {
+    Quiet,
+    /// Bytes that belong to no answer.
+    Spoken,
+    /// Its end.
+    Over,
+}
+
 impl Link {
     /// Guards against a close that has arrived and that the connection's own task has not been woken for yet:
     /// when it came in the same moment as a request, the request was written first, and was lost as a reset.
-    fn still_open(&self) -> bool {
-        let Some(stream) = self.stream.upgrade() else { return false };
+    fn at_rest(&self) -> Rest {
+        let Some(stream) = self.stream.upgrade() else { return Rest::Over };
         let stream = stream.borrow();
-        let peeked = SockRef::from(stream.inner()).peek(&mut [MaybeUninit::uninit()]);
-        peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+        match SockRef::from(stream.inner()).peek(&mut [MaybeUninit::uninit()]) {
+            Err(cause) if cause.kind() == ErrorKind::WouldBlock => Rest::Quiet,
+            Ok(bytes) if bytes > 0 => Rest::Spoken,
+            _ => Rest::Over,
+        }
     }
 }
 
@@ -202,6 +221,8 @@
 /// The connections to all upstreams, and how to use them.
 pub struct Pool {
     idle: RefCell<FxHashMap<ServerId, Vec<Link>>>,
+    /// Upstreams that said something on a connection on which nothing was asked, and when.
+    out_of_turn: RefCell<FxHashMap<ServerId, Instant>>,
     open: Rc<Cell<usize>>,
     most: usize,
     idle_limit: Duration,
@@ -222,6 +243,7 @@
         let names = &config.facts.stats.names;
         let pool = Rc::new(Self {
             idle: RefCell::default(),
+            out_of_turn: RefCell::default(),
             open: Rc::default(),
             most,
             idle_limit: ms(limits.keepalive, 5000.0).mul_f64(IDLE_OF_KEEPALIVE),
@@ -258,19 +280,39 @@
         self.idle.borrow_mut().remove(&server);
     }
 
-    /// The connection used last: the rest can age out.
+    fn spoke_out_of_turn(&self, server: ServerId, address: SocketAddr) {
+        tracing::info!(%address, "an upstream spoke out of turn");
+        self.out_of_turn.borrow_mut().insert(server, Instant::now());
+    }
+
+    fn speaks_out_of_turn(&self, server: ServerId) -> bool {
+        self.out_of_turn.borrow().get(&server).is_some_and(|seen| seen.elapsed() < LATELY)
+    }
+
+    /// Of those that have rested the one used last: the others can age out.
     fn take(&self, server: ServerId, address: SocketAddr) -> Option<Link> {
         let mut idle = self.idle.borrow_mut();
         let links = idle.get_mut(&server)?;
-        while let Some(link) = links.pop() {
-            if self.usable(&link) && link.address == address && link.still_open() {
-                return Some(link);
+        let rest = if self.speaks_out_of_turn(server) { REST } else { Duration::ZERO };
+        while let Some(at) = links.iter().rposition(|l| l.idle_since.elapsed() >= rest) {
+            let link = links.remove(at);
+            if !self.usable(&link) || link.address != address {
+                continue;
+            }
+            match link.at_rest() {
+                Rest::Quiet => {
+                    link.asked.set(true);
+                    return Some(link);
+                }
+                Rest::Spoken => self.spoke_out_of_turn(server, address),
+                Rest::Over => {}
             }
         }
         None
     }
 
     fn put(&self, server: ServerId, link: Link) {
+        link.asked.set(false);
         self.idle.borrow_mut().entry(server).or_default().push(link);
     }
 
@@ -292,7 +334,7 @@
         true
     }
 
-    async fn connect(&self, address: SocketAddr) -> Option<Link> {
+    async fn connect(self: &Rc<Self>, server: ServerId, address: SocketAddr) -> Option<Link> {
         if !self.make_room() {
             tracing::warn!("no descriptor left for an upstream");
             return None;
@@ -310,13 +352,21 @@
         let io = Counted { inner: stream, written: written.clone() };
         let (sender, connection) =
             http1::Builder::new().max_buf_size(BUFFER).handshake(io).await.ok()?;
+        let (asked, pool) = (Rc::new(Cell::new(true)), Rc::downgrade(self));
+        let resting = asked.clone();
         let task = tokio::task::spawn_local(async move {
             let _open = open;
-            let _ = connection.await;
+            let ended = connection.await;
+            // Of a connection on which nothing is asked, hyper says so only in words; a failure of the socket has
+            // a source.
+            let spoke = ended.is_err_and(|e| std::error::Error::source(&e).is_none());
+            if let (true, false, Some(pool)) = (spoke, resting.get(), pool.upgrade()) {
+                pool.spoke_out_of_turn(server, address);
+            }
         });
         let idle_since = Instant::now();
         let _connection = AbortOnDrop(task);
-        Some(Link { sender, written, stream: weak, address, idle_since, _connection })
+        Some(Link { sender, written, stream: weak, address, idle_since, asked, _connection })
     }
 
     /// Keeps a connection whose answer has been read, once it can take another request.
@@ -363,7 +413,7 @@
             let reused = pooled.is_some();
             let link = match pooled {
                 Some(link) => Some(link),
-                None => self.connect(address).await,
+                None => self.connect(server, address).await,
             };
             let Some(mut link) = link else { return Ended::bare(Outcome::ConnectFailed) };
             // The wait for a connection may outlast the request, or the upstream's service.
--- a/tests/crossings/mod.rs
+++ b/tests/crossings/mod.rs
@@ -582,3 +582,30 @@
     let answer = node.client().ask(&alarm("r1", 5000, "x"));
     assert_eq!(answer.status(), 502);
 }
+
+#[test]
+fn an_upstream_that_answered_twice_does_not_answer_the_next_request_so() {
+    // It comes milliseconds later, when the next request of a queue may be out on the same connection.
+    for late_ms in [0, 2, 8] {
+        let address = scripted(move |n, stream| {
+            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{n:02}");
+            pause(20);
+            let _ = stream.write_all(answer.as_bytes());
+            if n <= 1 {
+                pause(late_ms);
+                let _ = stream.write_all(answer.as_bytes());
+            }
+            true
+        });
+        let node = Node::start(&config(vec![member("s-0", address, "SERVING")]));
+        // The first time nobody waits, and it is seen on a connection that rests.
+        assert_eq!(node.client().ask(&alarm("r0", 5000, "x")).body, b"00");
+        pause(50);
+        let mut pair = [node.client(), node.client()];
+        pair[0].send(&alarm("r1", 5000, "x"));
+        pause(5);
+        pair[1].send(&alarm("r2", 5000, "x"));
+        let bodies = pair.each_mut().map(|c| c.answer().expect("an answer").body);
+        assert_eq!(bodies, [b"01".to_vec(), b"02".to_vec()], "{late_ms} ms later");
+    }
+}
