A change is told within 6 s of the moment discovery can be reached, also where lists are asked for

With AskEvery = 200 s the module waited 10 s and more for a call. Cause: where lists are asked for, each address that hangs cost 3 s and the module's wait before the next was tried; that wait was a share of AskEvery; and an answered call that then said nothing was given the whole silence. Pushed lists keep 6 s with or without the last of these (ruled out: silence of 3.5 s and backoff of 2 s as they are, but its jitter came on top of the backoff). Change: where lists are asked for, too, calls are made beside what is silent (two open, one every 1.5 s), all addresses before the caller hears of a failure; an answered call has 2.2 s for its first word; the module waits 2 s at most. The check that each unanswered call is told as lost is replaced by the times of the calls themselves: as strict, but a call that hangs is no longer a loss.

--- a/src/discovery/follow.rs
+++ b/src/discovery/follow.rs
@@ -1,10 +1,12 @@
 //! Where a client of the list calls, when it calls again, and what it believes. Pure: told what happened and when,
 //! answers what to do.
 //!
-//! One clock for silence, whether lists are pushed or asked for (FLEET): a watch without a word for [`SILENCE`] is
-//! broken. Where lists are pushed, another call is made then, beside it, and after that one every [`Follow::again`]
-//! until somebody speaks: while discovery is down its agent is silent, and what it holds at its return counts as told
-//! at once. Where lists are asked for, the caller hears that the watch is lost and says when to call.
+//! One clock, whether lists are pushed or asked for (STANDING, and the operators' letter after it): a change counts
+//! as told 6 s after discovery had it and could be reached, whatever became of calls. A watch without a word for
+//! [`SILENCE`] is broken, and a call that was answered without a word after [`FIRST_WORD`]; another call is made then,
+//! beside it, and further ones until somebody speaks: every [`Follow::again`]. Where lists are pushed that is often,
+//! for what their agent holds at its return counts as told at once. Where lists are asked for the service is shared:
+//! calls are few, and once all that were out have failed the caller says when to call.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -13,9 +15,11 @@
 use tokio::time::Instant;
 
 /// A watch says something every 2 s; without a word for this long it is broken, though nothing told so (a machine
-/// that is cut off sends no reset). News counts as told 6 s after the silence began, heard or not: the next call must
-/// fit in before that.
+/// that is cut off sends no reset). News counts as told 6 s after the silence began, heard or not: the next call and
+/// its [`FIRST_WORD`] have to fit in before that.
 pub const SILENCE: Duration = Duration::from_millis(3500);
+/// An answered call says something within 2 s.
+pub const FIRST_WORD: Duration = Duration::from_millis(2200);
 /// A call that waits for its turn longer than this has failed, where lists are asked for.
 pub const CALL: Duration = Duration::from_millis(3000);
 /// Most of the time between two calls where there is no other address: it is an agent on this machine, which
@@ -25,6 +29,12 @@
 const REWATCH_LEAST: Duration = Duration::from_millis(50);
 /// Calls and watches open at once; each is a descriptor.
 const MOST_OPEN: usize = 8;
+/// The same where lists are asked for: what was sent [`CALL`] ago has failed.
+const MOST_ASKED: usize = 2;
+/// Longest backoff: a round of calls comes behind it.
+const LONGEST_WAIT: Duration = Duration::from_secs(2);
+/// All addresses are called once within this time, whatever becomes of the calls.
+const ROUND: Duration = Duration::from_millis(2000);
 
 /// What to do next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,7 +50,7 @@
     },
     /// End this call or watch.
     Drop(u64),
-    /// Nothing is watched any more; the caller says when to call again.
+    /// All calls and watches have ended; the caller says when to call again.
     Lost,
 }
 
@@ -90,7 +100,7 @@
 fn waits() -> ExponentialBackoff {
     ExponentialBuilder::default()
         .with_min_delay(Duration::from_millis(50))
-        .with_max_delay(Duration::from_secs(2))
+        .with_max_delay(LONGEST_WAIT)
         .with_jitter()
         .without_max_times()
         .build()
@@ -120,12 +130,15 @@
         follow
     }
 
-    /// The time between two calls to the one agent of this machine: what it learns counts as told at once, and has
-    /// to be heard well within the grace.
+    /// The time between two calls while nobody speaks. Of the one agent of this machine: what it learns counts as told
+    /// at once, and has to be heard well within the grace. Where lists are asked for, half the time of a call.
     pub fn again(&self) -> Duration {
+        let others = self.addresses.len().max(1) as u32;
         match self.mode {
-            Mode::Pushed { grace } => (grace / 4).clamp(REWATCH_LEAST, REWATCH),
-            Mode::Asked => REWATCH,
+            Mode::Pushed { grace } => {
+                (grace / 4).clamp(REWATCH_LEAST, REWATCH).min((ROUND / others).max(REWATCH_LEAST))
+            }
+            Mode::Asked => (CALL / 2).min((ROUND / others).max(REWATCH)),
         }
     }
 
@@ -162,12 +175,6 @@
         if self.due.is_none_or(|due| now < due) {
             return;
         }
-        if self.mode == Mode::Asked {
-            self.only(None);
-            self.another();
-            self.lost();
-            return;
-        }
         if self.open.is_empty() {
             self.call(now);
             return;
@@ -181,7 +188,7 @@
     /// A call was answered, though nothing was told yet.
     pub fn answered(&mut self, serial: u64, now: Instant) {
         if self.open.contains(&serial) {
-            self.due = Some(now + SILENCE);
+            self.due = Some(now + FIRST_WORD);
         }
     }
 
@@ -216,8 +223,13 @@
         let Some(at) = self.open.iter().position(|open| *open == serial) else { return };
         self.open.remove(at);
         if self.mode == Mode::Asked {
+            let round = self.failures + 1 < self.addresses.len();
             self.another();
-            self.lost();
+            if self.open.is_empty() && round {
+                self.call(now);
+            } else if self.open.is_empty() {
+                self.lost();
+            }
             return;
         }
         let mut next = now + self.another();
@@ -243,7 +255,8 @@
             return Duration::ZERO;
         }
         self.failures = 0;
-        self.waits.next().unwrap_or(REWATCH)
+        // Its jitter comes on top of the longest delay.
+        self.waits.next().map_or(REWATCH, |wait| wait.min(LONGEST_WAIT))
     }
 
     fn call_alone(&mut self, now: Instant) {
@@ -256,14 +269,14 @@
         let Some(address) = self.addresses.get(self.at).copied() else { return };
         self.serial += 1;
         let (serial, index) = (self.serial, if self.anew { 0 } else { self.revision });
-        if self.open.len() >= MOST_OPEN {
+        let most = if self.mode == Mode::Asked { MOST_ASKED } else { MOST_OPEN };
+        if self.open.len() >= most {
             self.steps.push(Step::Drop(self.open.remove(0)));
         }
         self.steps.push(Step::Call { serial, address, index });
         self.open.push(serial);
         self.called = Some(now);
-        let patience = if self.mode == Mode::Asked { CALL } else { self.again() };
-        self.due = Some(now + patience);
+        self.due = Some(now + self.again());
     }
 
     /// Ends all calls but this one.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -91,6 +91,9 @@
 const TS_PRIOR_OF_QOS: f64 = 0.25;
 /// Longest first wait before the list is asked, as a share of `ask_every`: restarts must not swamp it.
 const ASK_JITTER_OF_EVERY: f64 = 0.05;
+/// The longest wait for the first call and after a failed one, however seldom lists are asked for: what is missed
+/// counts as told 6 s after it could be had (STANDING), and a call has to wait for its turn too.
+const ASK_AGAIN_MOST: Span = Span(2_000_000);
 /// A list call unanswered for this share of `ask_every` is made again.
 const ASK_AGAIN_OF_EVERY: f64 = 0.5;
 
@@ -1115,7 +1118,8 @@
     /// Takes in what happened and appends what is to be done about it, in order.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         if !std::mem::replace(&mut self.started, true) {
-            self.start(now, out);
+            self.ask.next = now.plus(self.jitter(ASK_JITTER_OF_EVERY).min(ASK_AGAIN_MOST));
+            self.arm(now, out);
         }
         match event {
             Event::Members { kind, list } => self.members(now, kind, list, out),
@@ -1128,12 +1132,6 @@
         }
     }
 
-    /// Begins to keep time and to ask for the list, with the first event.
-    fn start(&mut self, now: Time, out: &mut Vec<Action>) {
-        self.ask.next = now.plus(self.jitter(ASK_JITTER_OF_EVERY));
-        self.arm(now, out);
-    }
-
     fn jitter(&mut self, of_every: f64) -> Span {
         Span::of(self.rng.rand_float() * of_every * self.settings.rules.ask_every.f())
     }
@@ -1173,8 +1171,7 @@
             let lost = std::mem::take(&mut self.ask.subscribed);
             self.ask.failures = (self.ask.failures + 1).min(3);
             let wait = self.jitter(ASK_JITTER_OF_EVERY * f64::from(1 << self.ask.failures));
-            // What a lost watch misses soon counts as told, however seldom lists are asked for.
-            let most = if lost { self.settings.rules.drain_grace } else { wait };
+            let most = if lost { self.settings.rules.drain_grace } else { ASK_AGAIN_MOST };
             self.ask.next = now.plus(wait.min(most));
             return;
         }
--- a/tests/list_client.rs
+++ b/tests/list_client.rs
@@ -27,7 +27,7 @@
 }
 
 /// What happens at the agent.
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 enum Do {
     /// The list gets its next revision, in which `s-1` drains.
     Change,
@@ -45,8 +45,12 @@
     Stall,
     /// Connections come up, but only after 0.6 s.
     Late,
-    /// Connections come up again.
+    /// Connections come up again, at all addresses.
     Accept,
+    /// Calls are answered, and then not a word more is said to them.
+    Mute,
+    /// Connections come up at this address alone; at the others they never do.
+    Only(u16),
     /// It says this on open watches.
     Say(&'static str),
     /// Its revisions begin again at this one, as at another discovery.
@@ -61,6 +65,8 @@
     Refused,
     Stalled,
     Late,
+    Mute,
+    Only(u16),
 }
 
 struct Agent {
@@ -115,6 +121,7 @@
 
     /// One connection, for as long as it lasts.
     async fn converse(self: Rc<Self>, mut stream: DuplexStream) -> std::io::Result<()> {
+        let mute = self.door.get() == Door::Mute;
         let mut head = Vec::new();
         while !head.ends_with(b"\r\n\r\n") {
             head.push(stream.read_u8().await?);
@@ -133,6 +140,9 @@
             }
         }
         stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
+        if mute {
+            return std::future::pending().await;
+        }
         let mut told = index;
         loop {
             let now = *revisions.borrow_and_update();
@@ -157,7 +167,10 @@
         }
     }
 
-    fn connect(self: &Rc<Self>) -> impl Future<Output = std::io::Result<DuplexStream>> + use<> {
+    fn connect(
+        self: &Rc<Self>,
+        to: SocketAddr,
+    ) -> impl Future<Output = std::io::Result<DuplexStream>> + use<> {
         let this = self.clone();
         async move {
             if this.door.get() == Door::Late {
@@ -166,7 +179,8 @@
             match this.door.get() {
                 Door::Refused => Err(std::io::ErrorKind::ConnectionRefused.into()),
                 Door::Stalled => std::future::pending().await,
-                Door::Open | Door::Late => {
+                Door::Only(port) if port != to.port() => std::future::pending().await,
+                Door::Open | Door::Late | Door::Mute | Door::Only(_) => {
                     let (ours, theirs) = duplex(1 << 16);
                     spawn_local(async move { drop(this.converse(theirs).await) });
                     Ok(ours)
@@ -189,6 +203,8 @@
             Do::Stall => self.door.set(Door::Stalled),
             Do::Late => self.door.set(Door::Late),
             Do::Accept => self.door.set(Door::Open),
+            Do::Mute => self.door.set(Door::Mute),
+            Do::Only(port) => self.door.set(Door::Only(port)),
             Do::Say(text) => self.said.send_modify(|said| *said = (said.0 + 1, text)),
             Do::Restart(revision) => drop(self.revision.send_replace(revision)),
             Do::Move => drop(orders.send(Order::Moved(vec![address(2)]))),
@@ -215,6 +231,18 @@
     addresses: u16,
     script: &[(u64, Do)],
     length: Duration,
+) -> Heard {
+    play_asked_after(Duration::from_millis(500), agent, mode, addresses, script, length).await
+}
+
+/// The same, asked so long after its list was lost.
+async fn play_asked_after(
+    wait: Duration,
+    agent: &Rc<Agent>,
+    mode: Mode,
+    addresses: u16,
+    script: &[(u64, Do)],
+    length: Duration,
 ) -> Heard {
     let start = Instant::now();
     let heard = Rc::new(RefCell::new(Heard::default()));
@@ -228,13 +256,13 @@
             sink.borrow_mut().lost.push(Instant::now());
             let asks = asks.clone();
             spawn_local(async move {
-                sleep(Duration::from_millis(500)).await;
+                sleep(wait).await;
                 let _ = asks.send(Order::Ask);
             });
         }
     };
     let connecting = agent.clone();
-    let client = spawn_local(client::run(follow, move |_| connecting.connect(), ordered, tell));
+    let client = spawn_local(client::run(follow, move |to| connecting.connect(to), ordered, tell));
     if mode == Mode::Asked {
         let _ = orders.send(Order::Ask);
     }
@@ -356,10 +384,71 @@
         let agent = Agent::new(Layout::Line);
         let script = [(0, Do::Down), (4500, Do::Up { hung_too: false }), (5000, Do::Change)];
         let heard = play(&agent, Mode::Asked, 1, &script, Duration::from_secs(30)).await;
-        assert_eq!(heard.lost.len(), 2, "each of two calls without an answer was told as lost");
+        let at: Vec<u64> =
+            agent.calls.borrow().iter().map(|c| c.0.elapsed().as_millis() as u64).collect();
+        let gaps: Vec<u64> = at.windows(2).map(|c| c[0] - c[1]).collect();
+        assert_eq!(
+            gaps, [1500; 3],
+            "one beside each that hangs for half of its time, and none once one speaks"
+        );
+        assert!(heard.lost.is_empty(), "nothing ended");
         assert_eq!(heard.told.len(), 1);
-        assert_eq!(agent.calls.borrow().len(), 3, "it calls when it is told to, and not by itself");
     });
+    paused(async {
+        let agent = Agent::new(Layout::Line);
+        let script = [(0, Do::Refuse), (4600, Do::Accept), (5000, Do::Change)];
+        let heard = play(&agent, Mode::Asked, 3, &script, Duration::from_secs(30)).await;
+        // Each of the three addresses is tried before the caller hears of it; then it says when.
+        assert_eq!(heard.lost.len(), 10, "every half second, and not oftener");
+        assert_eq!(heard.told.len(), 1);
+    });
+}
+
+/// STANDING and the letter after it: whatever became of calls, a change counts as told 6 s after discovery had it
+/// and could be reached. Random troubles, the last of which is over at some moment; asked for as late as the
+/// module ever does.
+#[test]
+fn a_change_is_told_within_six_seconds_of_the_last_trouble() {
+    use Do::*;
+    for (mode, addresses) in
+        [(PUSHED, 1), (PUSHED, 3), (PUSHED, 7), (Mode::Asked, 1), (Mode::Asked, 3)]
+    {
+        for seed in 0..300_u64 {
+            let mut random = oorandom::Rand64::new(u128::from(seed));
+            let mut draw = |n: u64| random.rand_range(0..n);
+            let mut script = Vec::new();
+            let mut at = 0;
+            for _ in 0..1 + draw(6) {
+                at += draw(4000);
+                let port = 1 + draw(u64::from(addresses)) as u16;
+                let trouble = [Silence, Reset, Refuse, Stall, Late, Mute, Down, Accept, Only(port)];
+                script.push((at, trouble[draw(9) as usize]));
+            }
+            // The last moment of trouble: what was called until now may hang for ever.
+            at += draw(4000);
+            script.extend([(at, Up { hung_too: false }), (at, Accept)]);
+            script.push(match draw(4) {
+                0 => (at, Silence),
+                1 => (at, Reset),
+                2 => (at, Only(1 + draw(u64::from(addresses)) as u16)),
+                _ => (at, Accept),
+            });
+            let known = (at + draw(4000)).saturating_sub(2000);
+            script.push((known, Change));
+            script.sort_by_key(|s| s.0);
+            let after = paused(async {
+                let (start, agent) = (Instant::now(), Agent::new(Layout::Line));
+                let length = Duration::from_millis(at + 30_000);
+                let wait = Duration::from_millis(2000);
+                let heard = play_asked_after(wait, &agent, mode, addresses, &script, length).await;
+                let told = heard.told.iter().find(|(_, m)| m.revision >= 42);
+                let told = told.map(|(told, _)| *told).unwrap_or(start + length);
+                told.saturating_duration_since(start + Duration::from_millis(known.max(at)))
+            });
+            let what = format!("{mode:?}, {addresses} addresses, seed {seed}");
+            assert!(after <= Duration::from_secs(6), "{what}: heard {after:?} later; {script:?}");
+        }
+    }
 }
 
 #[test]
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -374,6 +374,19 @@
     }
 }
 
+#[test]
+fn a_failed_call_for_the_list_is_made_again_soon_however_seldom_lists_are_asked_for() {
+    let mut rare = Settings { must_ask: true, ..settings() };
+    rare.rules.ask_every = Span(200_000 * MS);
+    let mut w = World::new(rare);
+    // The first call, and one after each further failure: 2 s at most, and a sweep.
+    for calls in 1..8 {
+        w.pass(Span(2100 * MS));
+        assert_eq!(w.log.iter().filter(|a| **a == Action::Subscribe).count(), calls);
+        w.list(ListKind::Unavailable, &[]);
+    }
+}
+
 #[test]
 fn nonsense_settings_are_refused_or_made_safe() {
     let none = Settings { classes: vec![], ..settings() };
