Tests live in test files: the blocks inside source files move beside their modules

Change: each #[cfg(test)] block becomes tests.rs in a folder beside its module, for it needs private items there; nothing else.

--- /dev/null
+++ b/src/bin/hollowpaddle/upstreams/tests.rs
@@ -0,0 +1,40 @@
+use super::*;
+
+#[test]
+fn a_load_report_is_read_as_far_as_it_is_understood() {
+    let fields = ["eps", "qps", "inflight"].map(|n| (n.to_string(), Field::named(n)));
+    let read = |text: &str| {
+        let mut headers = HeaderMap::new();
+        headers.insert("x-load", text.parse().expect("a header"));
+        let r = report(&fields, &headers);
+        (r.eps, r.qps, r.inflight)
+    };
+    assert_eq!(read("TEXT eps=0.5, qps=140, inflight=7"), (Some(0.5), Some(140.0), Some(7.0)));
+    assert_eq!(read("TEXT inflight=7,queue=2, qps=NaN, eps=x,"), (None, None, Some(7.0)));
+    assert_eq!(read("JSON {\"eps\": 1}"), (None, None, None));
+}
+
+#[test]
+fn only_what_is_certainly_not_whole_never_ran() {
+    let forward = Forward {
+        method: Method::POST,
+        uri: Uri::from_static("/api"),
+        headers: HeaderMap::new(),
+        body: Payload { kept: Bytes::from_static(b"0123456789"), ..Payload::default() },
+        until: Cell::new(Instant::now()),
+    };
+    let sent = Sent::default();
+    assert!(sent.untouched() && sent.never_whole(), "no connection yet");
+    let written = Written::default();
+    written.bytes.set(1000); // An earlier request on the same connection.
+    assert!(forward.request(Instant::now(), &sent, &written).is_some());
+    assert!(sent.untouched() && sent.never_whole());
+    written.add(10);
+    assert!(!sent.untouched() && sent.never_whole(), "head and body are longer than the body");
+    assert_eq!(written.tries.get(), 0);
+    // `POST /api HTTP/1.1`, X-Deadline-Ms and the body, and not a byte less.
+    let whole = "POST /api HTTP/1.1\r\nx-deadline-ms: 0\r\n\r\n0123456789".len();
+    written.add(whole - 10);
+    assert!(!sent.never_whole());
+    assert_eq!(written.tries.get(), 1, "and it counts as a try, once");
+}
--- a/src/discovery/member.rs
+++ b/src/discovery/member.rs
@@ -167,23 +167,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_member_is_read_as_protocol_writes_it_and_one_that_is_none_costs_no_other() {
-        let line = r#"{"revision":43,"complete":true,"members":[
-            {"id":"a","host_port":"10.1.0.18:8081","cell":3,"phase":"SERVING","size":1.0,"up_since_ms":5,"new":1},
-            {"id":7},{"id":"b","phase":"RESTING"}]}"#;
-        let mut list: Message = serde_json::from_str(line).expect("read");
-        assert_eq!(list.members.len(), 2);
-        assert_eq!(list.members[1].phase, Phase::Unknown);
-        let again = String::from_utf8(list.line()).expect("JSON");
-        assert!(again.contains("\"up_since_ms\":5}"), "{again}");
-        let kept = postcard::to_stdvec(&list).expect("kept");
-        assert_eq!(postcard::from_bytes::<Message>(&kept), Ok(list.clone()));
-        let gone = Member { phase: Phase::Deleted, ..list.members[0].clone() };
-        list.update(&Message { revision: 44, complete: false, members: vec![gone] });
-        assert_eq!((list.revision, list.complete, list.members.len()), (44, true, 1));
-    }
-}
+mod tests;
--- a/src/release/gates.rs
+++ b/src/release/gates.rs
@@ -148,47 +148,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn seen(attempts: u64, errors: u64, ms: u64) -> Seen {
-        let bounds = [1000, 2000, 5000, 10_000, 50_000, 100_000];
-        let count = |b| if b >= ms * 1000 { attempts - errors } else { 0 };
-        Seen { attempts, errors, latencies: Latencies(bounds.map(|b| (b, count(b))).into()) }
-    }
-
-    #[test]
-    fn errors_refusals_and_latency_break_a_stage_and_too_little_says_nothing() {
-        let gates = Gates::default();
-        let look = |new: Seen, before| {
-            judge(&gates, &Observation { new, ..Observation::default() }, before, false)
-        };
-        assert!(matches!(look(seen(19, 19, 1), None), Judgement::Unknown(_)));
-        assert!(
-            matches!(look(seen(20, 4, 1), None), Judgement::Broken(why) if why.contains("errors"))
-        );
-        assert!(matches!(look(seen(99, 0, 1), Some(900.0)), Judgement::Unknown(_)));
-        assert!(matches!(look(seen(100, 0, 1), Some(900.0)), Judgement::Sound(Some(_))));
-        assert!(
-            matches!(look(seen(100, 0, 50), Some(10_000.0)), Judgement::Broken(why) if why.contains("p99"))
-        );
-        let refusing = Observation { requests: 100, refused: 6, ..Observation::default() };
-        assert!(
-            matches!(judge(&gates, &refusing, None, false), Judgement::Broken(why) if why.contains("refusals"))
-        );
-        let gone = Observation { new: seen(4, 4, 1), ..Observation::default() };
-        assert!(matches!(judge(&gates, &gone, None, false), Judgement::Unknown(_)));
-        assert!(matches!(judge(&gates, &gone, None, true), Judgement::Broken(_)));
-        // Before the first stage there is only the old version to compare with, in the same window.
-        let slower =
-            Observation { new: seen(200, 0, 50), old: seen(200, 0, 5), ..Observation::default() };
-        assert!(matches!(judge(&gates, &slower, None, false), Judgement::Broken(_)));
-    }
-
-    #[test]
-    fn p99_is_within_its_bucket() {
-        assert_eq!(Latencies::default().p99(), None);
-        let some = Latencies([(1000, 90), (2000, 100), (4000, 100)].into());
-        assert_eq!(some.p99(), Some(1900.0));
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/store/record/tests.rs
@@ -0,0 +1,76 @@
+use proptest::prelude::*;
+
+use super::*;
+
+fn three() -> (Vec<u8>, Vec<usize>) {
+    let (mut data, mut at) = (Vec::new(), Vec::new());
+    for (i, payload) in [&b"one"[..], b"", b"the third record"].iter().enumerate() {
+        at.push(data.len());
+        encode(i as u64 + 1, payload, &mut data);
+    }
+    (data, at)
+}
+
+#[test]
+fn a_cut_at_any_byte_of_the_last_record_is_torn_and_never_corrupt() {
+    let (data, at) = three();
+    for cut in at[2] + 1..data.len() {
+        assert_eq!(read(&data[..cut], at[2]), Read::Torn, "cut at {cut}");
+    }
+    assert_eq!(read(&data, data.len()), Read::End);
+}
+
+#[test]
+fn a_flipped_bit_anywhere_is_corrupt_and_never_torn() {
+    let (data, at) = three();
+    for byte in at[0]..at[1] {
+        for bit in 0..8 {
+            let mut spoilt = data.clone();
+            spoilt[byte] ^= 1 << bit;
+            assert!(matches!(read(&spoilt, 0), Read::Corrupt(_)), "byte {byte} bit {bit}");
+        }
+    }
+}
+
+#[test]
+fn sectors_that_were_never_written_are_torn() {
+    let (mut data, mut at) = (Vec::new(), 0);
+    for sequence in 1..=2 {
+        at = data.len();
+        encode(sequence, &[7; 2000], &mut data);
+    }
+    let mut spoilt = data.clone();
+    spoilt[at + HEAD + 1000..].fill(0);
+    assert_eq!(read(&spoilt, at), Read::Torn, "the end of its payload");
+    spoilt[at..].fill(0);
+    assert_eq!(read(&spoilt, at), Read::Torn, "all of it");
+    let mut spoilt = data;
+    spoilt[at - 3] = 0;
+    assert!(matches!(read(&spoilt, 0), Read::Corrupt(_)), "one zero in the middle is no tear");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2000))]
+    #[test]
+    fn arbitrary_bytes_never_panic(data in proptest::collection::vec(any::<u8>(), 0..200), at in 0usize..220) {
+        let _ = read(&data, at);
+    }
+
+    #[test]
+    fn what_was_written_is_read(payloads in proptest::collection::vec(
+        proptest::collection::vec(any::<u8>(), 0..80), 0..8)) {
+        let mut data = Vec::new();
+        for (i, payload) in payloads.iter().enumerate() {
+            encode(i as u64, payload, &mut data);
+        }
+        let mut at = 0;
+        for (i, payload) in payloads.iter().enumerate() {
+            let Read::Whole { sequence, payload: read, next } = read(&data, at) else {
+                return Err(TestCaseError::fail("not whole"));
+            };
+            prop_assert_eq!((sequence, read), (i as u64, &payload[..]));
+            at = next;
+        }
+        prop_assert_eq!(read(&data, at), Read::End);
+    }
+}
