Tests: the program under two other customers' settings, read from their site files

Need: nothing may be fitted to one deployment, and no test read another's settings. Change: tests/sites drives the program with each file in deploy/sites: class names, effects, groups, windows, tenants, zones, limits, lists asked for or pushed.

--- a/tests/node.rs
+++ b/tests/node.rs
@@ -2,6 +2,7 @@
 
 mod crossings;
 mod operations;
+mod sites;
 mod streams;
 mod stubs;
 
