--- a/tests/streams/mod.rs
+++ b/tests/streams/mod.rs
@@ -257,11 +257,23 @@
 
 #[test]
 fn a_large_body_that_breaks_off_is_whole_nowhere() {
-    let (address, told) = takes_bodies();
+    let (begun, begins) = channel();
+    let (tell, told) = channel();
+    let address = upstream(move |head, stream| {
+        let _ = begun.send(());
+        let got = body_of(stream, head);
+        let whole = got.1;
+        let _ = tell.send(got);
+        if whole {
+            write(stream, b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        }
+    });
     let node = node_of(address);
     let mut client = connect(&node);
     write(&mut client, post("Content-Length: 300000\r\n").as_bytes());
     write(&mut client, &bytes(200_000));
+    // Gone before any of it went on, it would not be sent at all.
+    begins.recv_timeout(SOON).expect("it is on its way");
     drop(client);
     let (got, whole) = told.recv_timeout(SOON).expect("its first part");
     assert!(!whole && got.len() <= 200_000);
