Requests with the shortest deadlines are tried too

Symptom: the_shortest_deadlines_are_tried_too fails before: of 200 requests with a deadline of 12 ms none was served. Change: the headroom is a quarter of a short deadline at most; the time to hold counts where there is somebody ahead. Measured: the test passes; rules and mechanism tests as before.

--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -28,14 +28,20 @@
 use crate::upstreams::{Ended, Forward, Pool, Target};
 
 /// The module works to this much less than the client's deadline, so that an answer at the deadline still
-/// arrives: the way to the client, and a busy moment here.
+/// arrives: the way to the client, and a busy moment here. Of a short time it is a quarter.
 const HEADROOM: Duration = Duration::from_millis(15);
-/// At this much less the engine answers itself, should the module still owe one.
-const BACKSTOP: Duration = Duration::from_millis(5);
+const HEADROOM_OF: u32 = 4;
+/// At this part of that the engine answers itself, should the module still owe one.
+const BACKSTOP_OF: u32 = 3;
 
 /// A process that stood still for more than this part of the grace of a drain reads its news first.
 const STALL_OF_GRACE: u32 = 4;
 
+/// How much earlier than this the module has to be done with a request.
+fn headroom(until: Instant) -> Duration {
+    HEADROOM.min(until.saturating_duration_since(Instant::now()) / HEADROOM_OF)
+}
+
 /// What the engine is told.
 pub enum Note {
     Arrived {
@@ -404,7 +410,8 @@
     ) {
         let latest = self.latest(arrival.until);
         forward.until.set(latest);
-        let until = latest - HEADROOM;
+        let room = headroom(latest);
+        let until = latest - room;
         let whole = forward.body.rest.as_ref().is_none_or(|r| r.is_whole());
         let coming = (!whole).then(|| arrival.until.saturating_duration_since(Instant::now()));
         let held = Held {
@@ -419,7 +426,7 @@
         self.requests.insert(id, held);
         let deadline = if coming.is_none() { Some(latest) } else { self.ending };
         if let Some(at) = deadline {
-            self.timers.push(Reverse((at - BACKSTOP, Due::Deadline(id))));
+            self.timers.push(Reverse((at - room / BACKSTOP_OF, Due::Deadline(id))));
         }
         let request = d::Request {
             class: arrival.class,
@@ -439,10 +446,11 @@
         let Some(time) = held.coming.take() else { return };
         let now = Instant::now();
         let latest = self.ending.map_or(now + time, |by| by.min(now + time));
-        held.until = latest - HEADROOM;
+        let room = headroom(latest);
+        held.until = latest - room;
         held.forward.until.set(latest);
         held.attempts.iter_mut().filter(|a| a.task.is_some()).for_each(|a| a.sent = now);
-        self.timers.push(Reverse((latest - BACKSTOP, Due::Deadline(id))));
+        self.timers.push(Reverse((latest - room / BACKSTOP_OF, Due::Deadline(id))));
         self.tell(Event::Whole(id));
     }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -91,8 +91,8 @@
 const TS_PRIOR_OF_QOS: f64 = 0.25;
 /// Longest first wait before the list is asked, as a share of `ask_every`: restarts must not swamp it.
 const ASK_JITTER_OF_EVERY: f64 = 0.05;
-/// The longest wait for the first call and after a failed one, however seldom lists are asked for: what is missed
-/// counts as told 6 s after it could be had (STANDING), and a call has to wait for its turn too.
+/// Longest wait for the first call for the list or after a failed one: news count as told 6 s after they
+/// could be had (STANDING), and the call waits for its turn too.
 const ASK_AGAIN_MOST: Span = Span(2_000_000);
 /// A list call unanswered for this share of `ask_every` is made again.
 const ASK_AGAIN_OF_EVERY: f64 = 0.5;
@@ -490,7 +490,9 @@
         self.requests.insert(r.id, entry);
         let in_share = self.in_share(now, r.tenant);
         let starts = now.plus(Span::of(ahead as f64 * self.fleet.mean[r.class]));
-        if !self.admits(r.class, in_share) || starts >= hold_until {
+        // What can be sent at once needs no time to be held.
+        let latest = if ahead > 0 { hold_until } else { aim_at };
+        if !self.admits(r.class, in_share) || starts >= latest {
             self.refuse(r.id, out);
             return;
         }
@@ -706,12 +708,10 @@
     fn is_open(&self, now: Time, e: &Entry, server: usize) -> bool {
         let limits = &self.settings.limits;
         let s = &self.servers[server];
-        if s.status != Status::Live || !self.open_to(Some(e.class), s) {
-            return false;
-        }
         let class = &self.settings.classes[e.class];
+        let shut = s.status != Status::Live || !self.open_to(Some(e.class), s);
         let over = e.ended || e.spent || now >= e.begin_until(class);
-        if over || e.attempts.len() >= limits.max_attempts {
+        if shut || over || e.attempts.len() >= limits.max_attempts {
             return false;
         }
         let there = |a: &Attempt| a.fate == Fate::Out && a.server == server;
--- a/tests/crossings/mod.rs
+++ b/tests/crossings/mod.rs
@@ -611,6 +611,16 @@
     }
 }
 
+#[test]
+fn the_shortest_deadlines_are_tried_too() {
+    let upstream = Upstream::start(|_| ok("ok"));
+    let node = Node::start(&config(members(&[&upstream])));
+    let mut client = node.client();
+    // On a busy machine not each is in time; but none may be turned back as too short.
+    let served = (0..200).any(|_| client.ask(&read("r", 12)).status() == 200);
+    assert!(served, "12 ms are never enough");
+}
+
 // ---------------------------------------------------------------- descriptors
 
 /// A proxy that may have 80 descriptors, of which 20 are for clients, and has no more from its system.
