--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -796,3 +796,25 @@
     assert_eq!(most_out_beside(0.0), 2, "2*TP/TS + 1 is above one");
     assert_eq!(most_out_beside(1.0), 1, "the bank has as many there as K_i allows");
 }
+
+#[test]
+fn a_class_with_a_short_aim_is_not_the_first_to_be_turned_back() {
+    // Failure: worth little for its work, it had a fifth of the bearable wait; turned back, its clients came again
+    // after a wait of their own, and too late for its aim.
+    let admitted = |class: usize| {
+        let mut s = settings();
+        s.classes = vec![s.classes[0].clone(), s.classes[0].clone()];
+        (s.classes[0].aim, s.classes[0].worth) = (Span(100 * MS), 1.0);
+        (s.classes[1].aim, s.classes[1].worth) = (Span(590 * MS), 5.0);
+        let mut w = World::with_servers(s, 4);
+        for id in 0..400 {
+            w.request(id, id as usize % 2);
+            w.pass(Span(20 * MS));
+            w.outcome(id, 0, Outcome::Ok);
+        }
+        (1000..1100).for_each(|id| w.request(id, class));
+        (1000..1100).filter(|id| !w.refused(*id)).count()
+    };
+    let (short, long) = (admitted(0), admitted(1));
+    assert!(short > long && long > 4, "{short} of the short aim, {long} of the long one");
+}
