A connection that idled is closed at once, and only one just answered is read on

Cause: inferred, not shown. A request that crosses with the close of an idle connection was read and dropped since, so its client is not told by a reset that nobody read it.

--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -57,6 +57,8 @@
 enum Over {
     /// Either side was done with it.
     Served,
+    /// The same, some time after its last answer.
+    Idle,
     /// Its peer had all its time.
     Lost,
     /// Its peer closed it while a request was served.
@@ -210,7 +212,9 @@
             // First what has come: a request that crosses with the end of its time is taken.
             tokio::select! {
                 biased;
-                _ = &mut connection => return Over::Served,
+                _ = &mut connection => {
+                    return if talk.answered_lately() { Over::Served } else { Over::Idle };
+                }
                 () = &mut lost => return Over::Lost,
                 () = &mut left => return Over::Left,
                 () = &mut time_to_close, if !closing => {
--- a/src/bin/hollowpaddle/talk.rs
+++ b/src/bin/hollowpaddle/talk.rs
@@ -104,6 +104,12 @@
         }
     }
 
+    /// Whether it was answered so lately that its peer may not have all of that yet. A request that crosses with the
+    /// close of one that idled is better reset: that tells its client that nobody read it.
+    pub fn answered_lately(&self) -> bool {
+        !matches!(self.doing.get(), Doing::Idle(since) if since.elapsed() >= READ_ON / 2)
+    }
+
     /// Whether part of a further request has come.
     pub fn asks_again(&self) -> bool {
         self.kept.get() && matches!(self.doing.get(), Doing::Asking(_))
