A client's end is given up on once it was seen twice, so that a body cut short is answered

Cause: hyper had read that end, and the look for ends that nobody reads took it for one, before the answer was written. Change: such an end has to be seen at two looks, 30 ms apart.

--- a/src/bin/hollowpaddle/talk.rs
+++ b/src/bin/hollowpaddle/talk.rs
@@ -36,7 +36,7 @@
 const LOOK: Duration = Duration::from_secs(1);
 /// The same while nobody reads on it, for its peer's close: nothing may be sent on for a client 0.1 s after it
 /// has gone.
-const LOOK_FOR_CLOSE: Duration = Duration::from_millis(40);
+const LOOK_FOR_CLOSE: Duration = Duration::from_millis(30);
 /// How long a connection is read on after our end of it is closed, and while others want its place.
 const READ_ON: Duration = Duration::from_millis(500);
 const READ_ON_IN_A_CROWD: Duration = Duration::from_millis(50);
@@ -119,16 +119,19 @@
     /// by the task that serves the connection, after it.
     pub async fn left(&self, stream: &Shared) {
         let mut look = pin!(sleep(LOOK_FOR_CLOSE));
+        let mut closed = false;
         poll_fn(|cx| {
             loop {
                 if self.read.get() || !matches!(self.doing.get(), Doing::Served) {
+                    closed = false;
                     return Poll::Pending;
                 }
-                if has_closed(&stream.borrow()) {
-                    return Poll::Ready(());
-                }
                 ready!(look.as_mut().poll(cx));
                 look.as_mut().reset(Instant::now() + LOOK_FOR_CLOSE);
+                // Seen twice: an end that was read, as of a body cut short, is answered by then.
+                if std::mem::replace(&mut closed, has_closed(&stream.borrow())) && closed {
+                    return Poll::Ready(());
+                }
             }
         })
         .await;
