Tests: the bank's settings are the common ones, with what differs

Need: duplicates listed them twice. Change: tests/bank.rs takes tests/common's settings and names what differs.

--- a/tests/bank.rs
+++ b/tests/bank.rs
@@ -2,6 +2,8 @@
 //! (STANDING, and the operators' letter after it): a cold upstream that gets more than N requests of mean work within
 //! `tip_after` falls, N being `fall_multiple` times what it can do then; 2 x root of N + 2 more are put down to chance.
 
+mod common;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
@@ -66,54 +68,26 @@
     let class = |effect| Class {
         aim: Span(2 * S),
         deadline: Span(4 * S),
-        worth: 1.0,
-        late_worth: 0.0,
-        effect,
-        group: Group::All,
         window: Span(3 * S),
-        aim_stretch: 0.0,
-        streaming: false,
-        in_order: false,
-        zones: None,
-        kinds: None,
+        group: Group::All,
+        ..common::class(effect)
     };
+    let ordinary = common::settings();
     Settings {
         classes: vec![class(Effect::Safe), class(Effect::Unsafe)],
-        tenants: vec![],
         balancers: play.proxies as u32,
         position: position as u32,
         zones: 1,
-        zone: 0,
         tick: Span(5 * MS),
-        must_ask: false,
-        limits: Limits {
-            max_attempts: 4,
-            second_copies: true,
-            cancel: true,
-            probes: false,
-            retry_after: false,
-            max_retry_after: Span(2 * S),
-            connect_timeout: Span(200 * MS),
-            keepalive: Span(60 * S),
-            streams_per_conn: 1,
-        },
+        limits: Limits { max_attempts: 4, retry_after: false, ..ordinary.limits },
         rules: Rules {
             cold_from: COLD_FROM,
             cold: Span(COLD),
             fall_multiple: MULTIPLE,
             tip_after: Span(TIP_AFTER),
-            drain_grace: Span(S),
-            answer_slack: Span(20 * MS),
-            ask_every: Span(10 * S),
-            drain_close: Span(0),
-            turn_gap: Span(0),
+            ..ordinary.rules
         },
-        prices: Prices::default(),
-        mix: ScoringMix { whole: 1.0, ..ScoringMix::default() },
-        over_share_worth: 0.1,
-        by_work: false,
-        marks_retry: false,
-        reports: Reports::None,
+        ..ordinary
     }
 }
 
