--- a/src/policy.rs
+++ b/src/policy.rs
@@ -41,10 +41,8 @@
 const PANIC: f64 = 0.75;
 /// Share of the aim that queue and service may take to be admitted: the rest is for the spread of service.
 const HOLD_OF_AIM: f64 = 0.7;
-/// Part of the bearable wait that the class of least rank may use.
+/// Part of the bearable wait that the class of least worth for its work may use.
 const LEAST_PART: f64 = 0.2;
-/// Share of haste in that rank, beside worth for work: turned back, who has a short aim comes again too late.
-const HASTE: f64 = 0.75;
 /// An upstream this many times slower than the mean is a suspect.
 const SUSPECT: f64 = 2.0;
 /// Points of the proxies on the ring: multiples of the golden ratio are even for any run and every n-th.
@@ -508,7 +506,7 @@
 
     /// The paper's check: queued plus in-flight stay under the sum of N_i. T_QoS is one for all, the wait
     /// that even the tightest class can bear, or long aims would fill the queue and starve short ones;
-    /// classes with time to come again, or worth less for their work, get a smaller part of it.
+    /// classes worth less for their work get a smaller part of it.
     fn admits(&self, class: usize, in_share: bool) -> bool {
         // Failure: a tenant that sent three times its share took the others' part of a full fleet.
         let part = if in_share { self.fleet.part[class] } else { 0.0 };
@@ -529,14 +527,14 @@
         let classes = &self.settings.classes;
         let bear = |(c, m): (&Class, &f64)| c.aim.f() * HOLD_OF_AIM - m;
         f.bearable = classes.iter().zip(&f.mean).map(bear).fold(f64::MAX, f64::min).max(0.0);
-        let worth = |c: usize| classes[c].worth / f.mean[c].max(1.0);
-        let haste = |c: usize| -classes[c].aim.f();
-        let n = classes.len();
-        let below = |c, of: &dyn Fn(usize) -> f64| (0..n).filter(|&o| of(o) < of(c)).count() as f64;
-        let rank = |c| HASTE * below(c, &haste) + (1.0 - HASTE) * below(c, &worth);
-        let least = if n == 1 { 1.0 } else { LEAST_PART };
-        let part = |c| least + (1.0 - least) * rank(c) / (n.max(2) - 1) as f64;
-        f.part = (0..n).map(part).collect();
+        let value = |c: usize, m: &[f64]| classes[c].worth / m[c].max(1.0);
+        for c in 0..classes.len() {
+            let mine = value(c, &f.mean);
+            let below = (0..classes.len()).filter(|&o| value(o, &f.mean) < mine).count();
+            let rank =
+                if classes.len() == 1 { 1.0 } else { below as f64 / (classes.len() - 1) as f64 };
+            f.part[c] = LEAST_PART + (1.0 - LEAST_PART) * rank;
+        }
     }
 
     fn refuse(&mut self, request: RequestId, out: &mut Vec<Action>) {
