Tests: one upstream whose connections come up late, for all that need it

Need: tests/crossings wrote again what a test of tests/node.rs had: a full backlog that opens when told. Change: it is one stub, and both call it; every assertion is as before.

--- a/tests/crossings/mod.rs
+++ b/tests/crossings/mod.rs
@@ -359,43 +359,6 @@
     }
 }
 
-/// An upstream whose connections come up only once it is told to accept them: its backlog is full until then.
-/// Afterwards it tells how much came on each.
-struct Late {
-    listener: TcpListener,
-    address: SocketAddr,
-    fillers: Vec<TcpStream>,
-}
-
-impl Late {
-    fn start() -> Self {
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
-        socket.listen(1).expect("listening");
-        let listener = TcpListener::from(socket);
-        let address = listener.local_addr().expect("an address");
-        let fill = || TcpStream::connect_timeout(&address, Duration::from_millis(300));
-        let fillers: Vec<TcpStream> = std::iter::from_fn(|| fill().ok()).take(64).collect();
-        assert!(fillers.len() < 64, "the backlog does not fill");
-        Self { listener, address, fillers }
-    }
-
-    /// Accepts from now on; the bytes of each connection's first read.
-    fn open(self) -> Receiver<usize> {
-        let (tell, seen) = channel();
-        drop(self.fillers);
-        std::thread::spawn(move || {
-            for stream in self.listener.incoming() {
-                let (mut stream, tell) = (stream.expect("accepted"), tell.clone());
-                std::thread::spawn(move || {
-                    let _ = tell.send(stream.read(&mut [0; 64]).unwrap_or(0));
-                });
-            }
-        });
-        seen
-    }
-}
-
 fn nothing_came(seen: &Receiver<usize>) -> bool {
     // The system tries again to connect after 1, 2 and 4 s.
     let until = Instant::now() + Duration::from_millis(4500);
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -7,7 +7,7 @@
 mod stubs;
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream};
 use std::process::Command;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::channel;
@@ -360,17 +360,8 @@
 
 #[test]
 fn what_waited_for_its_connection_when_its_upstream_drains_is_not_sent() {
-    // A full backlog: connections to it come up only once there is room again.
-    let full = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
-    let full = full.expect("a socket");
-    full.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
-    full.listen(1).expect("listening");
-    let full = TcpListener::from(full);
-    let address = full.local_addr().expect("an address");
-    let fill = || TcpStream::connect_timeout(&address, Duration::from_millis(300));
-    let fillers: Vec<TcpStream> = std::iter::from_fn(|| fill().ok()).take(64).collect();
-    assert!(fillers.len() < 64, "the backlog does not fill");
-
+    let late = Late::start();
+    let address = late.address;
     let mut config = config(vec![member("s-0", address, "SERVING")]);
     config["settings"]["PolicyLimits"]["ConnectTimeout"] = json!(20_000.0);
     // Not even within the grace: it may have begun before the news came here.
@@ -386,19 +377,9 @@
         "members": [member("s-0", address, "DRAINING")]});
     chunk(&mut watch, &format!("{list}\n"));
     std::thread::sleep(Duration::from_millis(200)); // It is heard.
-    let (tell, seen) = channel();
-    std::thread::spawn(move || {
-        for stream in full.incoming() {
-            let (mut stream, tell) = (stream.expect("accepted"), tell.clone());
-            std::thread::spawn(move || {
-                let read = stream.read(&mut [0; 64]).unwrap_or(0);
-                let _ = tell.send(read);
-            });
-        }
-    });
+    let seen = late.open();
     // Never ran, and nowhere else to go: the harmless answer.
     assert_eq!(client.answer().expect("an answer").status(), 503);
-    drop(fillers);
     drop(node);
     while let Ok(read) = seen.recv_timeout(Duration::from_millis(300)) {
         assert_eq!(read, 0, "it was sent all the same");
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -152,6 +152,44 @@
     }
 }
 
+/// An upstream whose connections come up only once it is told to accept them: its backlog is full until then.
+/// Afterwards it tells how much came on each.
+pub struct Late {
+    listener: TcpListener,
+    pub address: SocketAddr,
+    fillers: Vec<TcpStream>,
+}
+
+impl Late {
+    pub fn start() -> Self {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)
+            .expect("a socket");
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+        socket.listen(1).expect("listening");
+        let listener = TcpListener::from(socket);
+        let address = listener.local_addr().expect("an address");
+        let fill = || TcpStream::connect_timeout(&address, Duration::from_millis(300));
+        let fillers: Vec<TcpStream> = std::iter::from_fn(|| fill().ok()).take(64).collect();
+        assert!(fillers.len() < 64, "the backlog does not fill");
+        Self { listener, address, fillers }
+    }
+
+    /// Accepts from now on; the bytes of each connection's first read.
+    pub fn open(self) -> Receiver<usize> {
+        let (tell, seen) = channel();
+        drop(self.fillers);
+        thread::spawn(move || {
+            for stream in self.listener.incoming() {
+                let (mut stream, tell) = (stream.expect("accepted"), tell.clone());
+                thread::spawn(move || {
+                    let _ = tell.send(stream.read(&mut [0; 64]).unwrap_or(0));
+                });
+            }
+        });
+        seen
+    }
+}
+
 /// Discovery: tells each watch's request line, and hands over its connection, head written.
 pub struct Discovery {
     pub address: SocketAddr,
