Discovery: an entry may name its service; kept forms by content, old ones open unchanged

Change: Member.service (JSON key service, left out when empty; over 256 bytes, a comma or a control character: refused by its key). A history entry also keeps the service that was left.

A cluster of mixed versions: as long as no entry is in a service nothing differs, either way. By reading, the version before refuses an entry in a service ("takes no further part") but takes its next turn all the same, so it would pass that entry over and go on under other revisions: all instances have to be of this version before the first service is registered. Here an error that is final stops the instance for good; started as a version that reads the entry, it goes on from it.

Tests: structs of the old shape beside the new ones, each way, for all three forms (equal bytes, equal values, new forms refused by the old shapes); an entry that can't be read is not passed over.

--- a/benches/recovery.rs
+++ b/benches/recovery.rs
@@ -32,6 +32,7 @@
         phase: Phase::Serving,
         size: 1.0,
         up_since_ms: 1.0,
+        service: String::new(),
     }
 }
 
--- a/src/discovery/keeper.rs
+++ b/src/discovery/keeper.rs
@@ -8,6 +8,7 @@
 use std::sync::mpsc;
 use std::thread;
 
+use super::kept::List;
 use super::member::Message;
 use crate::store::StoreError;
 use crate::store::log::write_whole;
@@ -53,7 +54,8 @@
     let spoilt = |cause: String| KeptError::Spoilt { path: path.clone(), cause };
     match record::read(&data, 0) {
         Read::Whole { payload, next, .. } if next == data.len() => {
-            postcard::from_bytes(payload).map(Some).map_err(|e| spoilt(e.to_string()))
+            let kept: List = postcard::from_bytes(payload).map_err(|e| spoilt(e.to_string()))?;
+            Ok(Some(kept.into()))
         }
         Read::Corrupt(what) => Err(spoilt(format!("corrupt record at offset 0: {what}"))),
         _ => Err(spoilt("not one whole record".into())),
@@ -62,7 +64,7 @@
 
 fn write(dir: &Path, list: &Message) -> Result<(), StoreError> {
     let mut data = Vec::new();
-    let payload = postcard::to_stdvec(list).unwrap_or_default();
+    let payload = postcard::to_stdvec(&List::from(list)).unwrap_or_default();
     record::encode(list.revision, &payload, &mut data);
     write_whole(&dir.join(FILE), &data)
 }
--- /dev/null
+++ b/src/discovery/kept.rs
@@ -0,0 +1,98 @@
+//! The forms in which entries and lists are kept on disk and sent between instances.
+//!
+//! `postcard` writes no names of fields, so a type's shape is its format. What has entries without a service is
+//! written in the form of the versions before there were services (`V1`), byte for byte: a site without services
+//! may go on to this version and back. What has an entry in a service is written in a form which those refuse to
+//! read, and don't misread.
+
+use serde::{Deserialize, Serialize};
+
+use super::member::{Member, Message, Phase};
+
+/// An entry as versions without services keep it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct MemberV1 {
+    id: String,
+    host_port: String,
+    locality: String,
+    flavor: String,
+    cell: u32,
+    phase: Phase,
+    size: f64,
+    up_since_ms: f64,
+}
+
+impl MemberV1 {
+    /// This entry; `None` where it is in a service.
+    pub fn of(member: &Member) -> Option<Self> {
+        let Member { id, host_port, locality, flavor, cell, phase, size, up_since_ms, service } =
+            member.clone();
+        service.is_empty().then_some(Self {
+            id,
+            host_port,
+            locality,
+            flavor,
+            cell,
+            phase,
+            size,
+            up_since_ms,
+        })
+    }
+
+    /// All of these; `None` where one is in a service.
+    pub fn of_all<'a>(members: impl IntoIterator<Item = &'a Member>) -> Option<Vec<Self>> {
+        members.into_iter().map(Self::of).collect()
+    }
+}
+
+impl From<MemberV1> for Member {
+    fn from(kept: MemberV1) -> Self {
+        let MemberV1 { id, host_port, locality, flavor, cell, phase, size, up_since_ms } = kept;
+        let service = String::new();
+        Self { id, host_port, locality, flavor, cell, phase, size, up_since_ms, service }
+    }
+}
+
+/// A list as a client keeps it.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct List {
+    revision: u64,
+    members: Members,
+}
+
+/// The first byte was `complete` in the first form, so the first two have the numbers of `false` and `true`.
+#[derive(Debug, Serialize, Deserialize)]
+enum Members {
+    ChangesV1(Vec<MemberV1>),
+    WholeV1(Vec<MemberV1>),
+    Changes(Vec<Member>),
+    Whole(Vec<Member>),
+}
+
+impl From<&Message> for List {
+    fn from(list: &Message) -> Self {
+        let members = match (MemberV1::of_all(&list.members), list.complete) {
+            (Some(members), false) => Members::ChangesV1(members),
+            (Some(members), true) => Members::WholeV1(members),
+            (None, false) => Members::Changes(list.members.clone()),
+            (None, true) => Members::Whole(list.members.clone()),
+        };
+        Self { revision: list.revision, members }
+    }
+}
+
+impl From<List> for Message {
+    fn from(kept: List) -> Self {
+        let all = |members: Vec<MemberV1>| members.into_iter().map(Member::from).collect();
+        let (complete, members) = match kept.members {
+            Members::ChangesV1(members) => (false, all(members)),
+            Members::WholeV1(members) => (true, all(members)),
+            Members::Changes(members) => (false, members),
+            Members::Whole(members) => (true, members),
+        };
+        Self { revision: kept.revision, complete, members }
+    }
+}
+
+#[cfg(test)]
+pub(crate) mod tests;
--- a/src/discovery/member.rs
+++ b/src/discovery/member.rs
@@ -2,6 +2,7 @@
 //! list service, of its clients, and of what is kept on disk.
 
 use rustc_hash::FxHashSet;
+use serde::ser::SerializeStruct;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 /// The phase of an upstream. `Deleted` appears in changes only.
@@ -20,7 +21,7 @@
 }
 
 /// One upstream as the list tells it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct Member {
     /// The same at every balancer.
     pub id: String,
@@ -43,29 +44,52 @@
     #[serde(default = "one")]
     pub size: f64,
     /// Unix time in milliseconds of its last start; 0 for long ago.
-    #[serde(default, serialize_with = "whole")]
+    #[serde(default)]
     pub up_since_ms: f64,
+    /// The service that it is an upstream of; empty where there is but one, and then left out of JSON.
+    #[serde(default)]
+    pub service: String,
 }
 
 fn one() -> f64 {
     1.0
 }
 
-/// PROTOCOL writes a whole number; readers of the list get one.
-fn whole<S: Serializer>(ms: &f64, to: S) -> Result<S::Ok, S::Error> {
-    if to.is_human_readable() { to.serialize_u64(*ms as u64) } else { to.serialize_f64(*ms) }
+impl Serialize for Member {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        let (json, in_service) = (to.is_human_readable(), !self.service.is_empty());
+        // Without a service it is as PROTOCOL shows it. A form that is not human-readable has all of it always.
+        let named = !json || in_service;
+        let mut entry = to.serialize_struct("Member", 8 + usize::from(named))?;
+        entry.serialize_field("id", &self.id)?;
+        entry.serialize_field("host_port", &self.host_port)?;
+        entry.serialize_field("locality", &self.locality)?;
+        entry.serialize_field("flavor", &self.flavor)?;
+        entry.serialize_field("cell", &self.cell)?;
+        entry.serialize_field("phase", &self.phase)?;
+        entry.serialize_field("size", &self.size)?;
+        match json {
+            // PROTOCOL writes a whole number; readers of the list get one.
+            true => entry.serialize_field("up_since_ms", &(self.up_since_ms as u64))?,
+            false => entry.serialize_field("up_since_ms", &self.up_since_ms)?,
+        }
+        if named {
+            entry.serialize_field("service", &self.service)?;
+        }
+        entry.end()
+    }
 }
 
 impl Member {
     /// Stands for an entry of this id that can't be read otherwise.
     fn unreadable(id: String) -> Self {
-        let (host_port, locality, flavor) = Default::default();
+        let (host_port, locality, flavor, service) = Default::default();
         let (phase, size) = (Phase::Unknown, one());
-        Self { id, host_port, locality, flavor, cell: 0, phase, size, up_since_ms: 0.0 }
+        Self { id, host_port, locality, flavor, cell: 0, phase, size, up_since_ms: 0.0, service }
     }
 
     /// What keeps this entry out of the list, by its key: an empty or overlong id, an address that is none,
-    /// a phase or size that can't be.
+    /// a phase or size that can't be, a service that can't be named.
     pub fn fault(&self) -> Option<(&'static str, &'static str)> {
         if self.id.is_empty() || self.id.len() > LONGEST_ID {
             return Some(("id", "1 to 256 bytes"));
@@ -76,6 +100,11 @@
         if self.host_port.parse::<std::net::SocketAddr>().is_err() {
             return Some(("host_port", "an address and port"));
         }
+        if self.service.len() > LONGEST_SERVICE
+            || self.service.contains(|c: char| c == ',' || c.is_control())
+        {
+            return Some(("service", "at most 256 bytes, no comma, no control character"));
+        }
         let sound = self.size.is_finite() && self.size > 0.0 && self.up_since_ms >= 0.0;
         (!sound).then_some(("size", "above 0, and up_since_ms not below"))
     }
@@ -83,6 +112,8 @@
 
 /// The longest id, in bytes.
 pub const LONGEST_ID: usize = 256;
+/// The longest name of a service, in bytes.
+pub const LONGEST_SERVICE: usize = 256;
 
 /// One object of the list: the whole list (`complete`) or the entries changed since the one before.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
--- a/src/discovery/member/tests.rs
+++ b/src/discovery/member/tests.rs
@@ -16,3 +16,24 @@
     list.update(&Message { revision: 44, complete: false, members: vec![gone] });
     assert_eq!((list.revision, list.complete, list.members.len()), (44, true, 1));
 }
+
+#[test]
+fn a_service_is_told_where_there_is_one_and_refused_by_its_key_where_it_cannot_be() {
+    let of = |service: &str| -> Member {
+        let entry = serde_json::json!(
+            {"id": "a", "host_port": "127.0.0.1:9", "phase": "SERVING", "service": service});
+        serde_json::from_value(entry).expect("a member")
+    };
+    let text = |member: &Member| serde_json::to_string(member).expect("JSON");
+    let plain = r#"{"id":"a","host_port":"127.0.0.1:9","locality":"","flavor":"","cell":0,"phase":"SERVING","size":1.0,"up_since_ms":0}"#;
+    assert_eq!(text(&of("")), plain, "as PROTOCOL shows it");
+    assert!(text(&of("shop")).ends_with(r#""up_since_ms":0,"service":"shop"}"#));
+    assert_eq!(serde_json::from_str::<Member>(&text(&of("shop"))).ok(), Some(of("shop")));
+    let longest = "x".repeat(LONGEST_SERVICE);
+    for sound in ["", "shop", "a b/c&d=é%", &longest] {
+        assert_eq!(of(sound).fault(), None, "{sound:?}");
+    }
+    for bad in ["a,b", "a\nb", "\u{7f}", &format!("{longest}x")] {
+        assert_eq!(of(bad).fault().map(|f| f.0), Some("service"), "{bad:?}");
+    }
+}
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -6,12 +6,14 @@
 //! the other instances.
 //!
 //! Its clients: [`follow`] decides where and when to call and what to believe (pure), [`client`] makes the calls,
-//! [`objects`] finds the lists on a watch, [`keeper`] keeps the last list on disk.
+//! [`objects`] finds the lists on a watch, [`keeper`] keeps the last list on disk. [`kept`]
+//! has the forms in which either side keeps entries.
 
 pub mod client;
 pub mod config;
 pub mod follow;
 pub mod keeper;
+pub mod kept;
 pub mod management;
 pub mod member;
 pub mod objects;
--- a/src/discovery/store.rs
+++ b/src/discovery/store.rs
@@ -8,15 +8,45 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::kept::MemberV1;
 use super::member::{Member, Message, Phase};
 
 /// The list and its history.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Store {
     revision: u64,
     members: BTreeMap<String, Member>,
-    /// `(revision, entry)`, oldest first, one entry a revision.
-    history: VecDeque<(u64, Member)>,
+    /// Oldest first, one a revision.
+    history: VecDeque<Change>,
+    keep: usize,
+}
+
+/// One change of the list.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Change {
+    /// The revision that the list has with it.
+    revision: u64,
+    /// The entry.
+    member: Member,
+    /// The service that it was in before, where that is another.
+    left: Option<String>,
+}
+
+/// A list without services as it is kept in a snapshot of the state ([`super::kept`]).
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct StoreV1 {
+    revision: u64,
+    members: BTreeMap<String, MemberV1>,
+    history: Vec<(u64, MemberV1)>,
+    keep: usize,
+}
+
+/// Any list as it is kept in a snapshot of the state.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct StoreV2 {
+    revision: u64,
+    members: Vec<Member>,
+    history: Vec<Change>,
     keep: usize,
 }
 
@@ -62,7 +92,7 @@
 
     /// The oldest revision a watch may ask from and be told changes rather than the whole list.
     pub fn oldest(&self) -> u64 {
-        self.history.front().map_or(self.revision, |(revision, _)| revision - 1)
+        self.history.front().map_or(self.revision, |change| change.revision - 1)
     }
 
     /// Puts an entry in, or takes it out where its phase is `Deleted`. Returns the new revision, or `None`
@@ -76,13 +106,13 @@
         if unchanged {
             return None;
         }
-        if member.phase == Phase::Deleted {
-            self.members.remove(&member.id);
-        } else {
-            self.members.insert(member.id.clone(), member.clone());
-        }
+        let before = match member.phase {
+            Phase::Deleted => self.members.remove(&member.id),
+            _ => self.members.insert(member.id.clone(), member.clone()),
+        };
         self.revision += 1;
-        self.history.push_back((self.revision, member));
+        let left = before.map(|b| b.service).filter(|service| *service != member.service);
+        self.history.push_back(Change { revision: self.revision, member, left });
         while self.history.len() > self.keep {
             self.history.pop_front();
         }
@@ -114,12 +144,57 @@
         let mut changed: BTreeMap<&str, &Member> = BTreeMap::new();
         // One entry a revision: what comes after `index` is the end of the history.
         let known = (index - self.oldest()) as usize;
-        for (_, member) in self.history.iter().skip(known) {
+        for Change { member, .. } in self.history.iter().skip(known) {
             changed.insert(&member.id, member);
         }
         let members = changed.into_values().cloned().collect();
         Since::Changes(Message { revision: self.revision, complete: false, members })
     }
+
+    /// The list to be kept, where no entry of it or of its history was ever in a service.
+    pub fn v1(&self) -> Option<StoreV1> {
+        let members = self.members.values().map(MemberV1::of);
+        let members = self.members.keys().cloned().zip(members);
+        let members = members.map(|(id, member)| Some((id, member?))).collect::<Option<_>>()?;
+        let change = |c: &Change| match c.left {
+            Some(_) => None,
+            None => Some((c.revision, MemberV1::of(&c.member)?)),
+        };
+        let history = self.history.iter().map(change).collect::<Option<_>>()?;
+        Some(StoreV1 { revision: self.revision, members, history, keep: self.keep })
+    }
+
+    /// The list to be kept.
+    pub fn v2(&self) -> StoreV2 {
+        let members = self.members.values().cloned().collect();
+        let history = self.history.iter().cloned().collect();
+        StoreV2 { revision: self.revision, members, history, keep: self.keep }
+    }
+}
+
+impl From<StoreV1> for Store {
+    fn from(kept: StoreV1) -> Self {
+        let change = |(revision, member): (u64, MemberV1)| Change {
+            revision,
+            member: member.into(),
+            left: None,
+        };
+        StoreV2 {
+            revision: kept.revision,
+            members: kept.members.into_values().map(Member::from).collect(),
+            history: kept.history.into_iter().map(change).collect(),
+            keep: kept.keep,
+        }
+        .into()
+    }
+}
+
+impl From<StoreV2> for Store {
+    fn from(kept: StoreV2) -> Self {
+        let StoreV2 { revision, members, history, keep } = kept;
+        let members = members.into_iter().map(|m| (m.id.clone(), m)).collect();
+        Self { revision, members, history: history.into(), keep }
+    }
 }
 
 #[cfg(test)]
--- a/src/discovery/store/tests.rs
+++ b/src/discovery/store/tests.rs
@@ -10,6 +10,7 @@
         phase,
         size: 1.0,
         up_since_ms: 0.0,
+        service: String::new(),
     }
 }
 
--- a/src/replica/command.rs
+++ b/src/replica/command.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::discovery::kept::MemberV1;
 use crate::discovery::member::{Member, Phase};
 use crate::lease::table::{Grant, LeaseCommand, Refusal, Token};
 
@@ -16,6 +17,7 @@
 
 /// One entry of the replicated log.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(from = "Form", into = "Form")]
 pub enum Command {
     /// The very first list; of no effect once there is one.
     Seed {
@@ -56,6 +58,58 @@
     Lease(LeaseCommand),
 }
 
+/// A command as it is kept and sent: the place of a variant is its number, so new ones come last. A version that
+/// doesn't know a number refuses the entry ([`crate::discovery::kept`]).
+#[derive(Clone, Serialize, Deserialize)]
+enum Form {
+    SeedV1 { revision: u64, members: Vec<MemberV1> },
+    RegisterV1 { member: MemberV1, ttl_ms: Option<u64>, fence: Option<Fence> },
+    SetPhase { id: String, phase: Phase, fence: Option<Fence> },
+    Lapse { id: String },
+    Revive { id: String },
+    Lease(LeaseCommand),
+    Seed { revision: u64, members: Vec<Member> },
+    Register { member: Member, ttl_ms: Option<u64>, fence: Option<Fence> },
+}
+
+impl From<Command> for Form {
+    fn from(command: Command) -> Self {
+        match command {
+            Command::Seed { revision, members } => match MemberV1::of_all(&members) {
+                Some(members) => Self::SeedV1 { revision, members },
+                None => Self::Seed { revision, members },
+            },
+            Command::Register { member, ttl_ms, fence } => match MemberV1::of(&member) {
+                Some(member) => Self::RegisterV1 { member, ttl_ms, fence },
+                None => Self::Register { member, ttl_ms, fence },
+            },
+            Command::SetPhase { id, phase, fence } => Self::SetPhase { id, phase, fence },
+            Command::Lapse { id } => Self::Lapse { id },
+            Command::Revive { id } => Self::Revive { id },
+            Command::Lease(command) => Self::Lease(command),
+        }
+    }
+}
+
+impl From<Form> for Command {
+    fn from(kept: Form) -> Self {
+        match kept {
+            Form::SeedV1 { revision, members } => {
+                Self::Seed { revision, members: members.into_iter().map(Member::from).collect() }
+            }
+            Form::RegisterV1 { member, ttl_ms, fence } => {
+                Self::Register { member: member.into(), ttl_ms, fence }
+            }
+            Form::SetPhase { id, phase, fence } => Self::SetPhase { id, phase, fence },
+            Form::Lapse { id } => Self::Lapse { id },
+            Form::Revive { id } => Self::Revive { id },
+            Form::Lease(command) => Self::Lease(command),
+            Form::Seed { revision, members } => Self::Seed { revision, members },
+            Form::Register { member, ttl_ms, fence } => Self::Register { member, ttl_ms, fence },
+        }
+    }
+}
+
 /// What came of a command.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
@@ -68,3 +122,6 @@
     /// A token or lease stood in the way.
     Refused(Refusal),
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -39,6 +39,9 @@
     /// before.
     #[error("keep: {0}")]
     Keep(E),
+    /// An error before was final.
+    #[error("stopped")]
+    Stopped,
 }
 
 /// Why a proposal was not taken.
@@ -82,6 +85,8 @@
     leader: u64,
     /// What could not be kept yet.
     owed: Option<raft::Ready>,
+    /// Whether an error was final: what was decided could not be carried out, and nothing after it may be.
+    stopped: bool,
     again: Duration,
     proposals: u64,
     nonce: u64,
@@ -126,6 +131,7 @@
             leading: false,
             leader: 0,
             owed: None,
+            stopped: false,
             again,
             proposals: 0,
             nonce,
@@ -165,7 +171,7 @@
     /// One tick of the election clock has passed; the leader looks for what has lapsed by `now`, on its own
     /// monotonic clock.
     pub fn tick(&mut self, now: Duration) {
-        if self.owed.is_some() {
+        if self.owed.is_some() || self.stopped {
             return;
         }
         self.raft.tick();
@@ -210,7 +216,7 @@
     /// # Errors
     /// [`NotTaken`]: it will not be carried out.
     pub fn propose(&mut self, command: &Command) -> Result<ProposalId, NotTaken> {
-        if self.owed.is_some() {
+        if self.owed.is_some() || self.stopped {
             return Err(NotTaken::Busy);
         }
         if !self.leads() {
@@ -249,6 +255,9 @@
         if self.owed.is_some() {
             return Err("the disk takes nothing".into());
         }
+        if self.stopped {
+            return Err("this instance takes no further part".into());
+        }
         self.raft.step(message).map_err(|e| e.to_string())
     }
 
@@ -256,8 +265,23 @@
     /// the records are on disk.
     ///
     /// # Errors
-    /// [`ReplicaError::Keep`] may be tried again; the others are final.
+    /// [`ReplicaError::Keep`] may be tried again; the others are final: an entry that was decided and can't be read
+    /// here (a later version's) must not be passed over, or this instance would tell another list under the same
+    /// revisions. Started again as a version that reads it, it goes on from there.
     pub fn turn<E: std::error::Error>(
+        &mut self,
+        now: Duration,
+        keep: impl FnMut(&[Record]) -> Result<(), E>,
+    ) -> Result<Turn, ReplicaError<E>> {
+        if self.stopped {
+            return Err(ReplicaError::Stopped);
+        }
+        let turn = self.go_on(now, keep);
+        self.stopped = matches!(&turn, Err(error) if !matches!(error, ReplicaError::Keep(_)));
+        turn
+    }
+
+    fn go_on<E: std::error::Error>(
         &mut self,
         now: Duration,
         mut keep: impl FnMut(&[Record]) -> Result<(), E>,
@@ -433,3 +457,6 @@
 pub fn decode(data: &[u8]) -> Result<Message, DecodeError> {
     Ok(Message::parse_from_bytes(data)?)
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/replica/host.rs
+++ b/src/replica/host.rs
@@ -222,6 +222,8 @@
                 }
                 return;
             }
+            // Said already.
+            Err(ReplicaError::Stopped) => return,
             Err(error) => {
                 // Going on from here could undo what others count on.
                 if self.trouble.replace(Some(error.to_string())).is_none() {
--- a/src/replica/machine.rs
+++ b/src/replica/machine.rs
@@ -2,11 +2,11 @@
 
 use std::collections::BTreeMap;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, Serializer};
 
 use super::command::{Command, Fence, Outcome};
 use crate::discovery::member::{Member, Phase};
-use crate::discovery::store::Store;
+use crate::discovery::store::{Store, StoreV1, StoreV2};
 use crate::lease::table::{Refusal, Table};
 
 /// A member that has to be renewed.
@@ -19,7 +19,8 @@
 }
 
 /// The replicated state.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(from = "Form")]
 pub struct Machine {
     seeded: bool,
     history: usize,
@@ -28,6 +29,59 @@
     leases: Table,
 }
 
+/// The state as it is kept in a snapshot. The first byte was `seeded` in the first form, so the first two have the
+/// numbers of `false` and `true`; a version that doesn't know the third refuses it ([`crate::discovery::kept`]).
+#[derive(Serialize, Deserialize)]
+enum Form {
+    UnseededV1(State<StoreV1>),
+    SeededV1(State<StoreV1>),
+    V2 { seeded: bool, state: State<StoreV2> },
+}
+
+#[derive(Serialize, Deserialize)]
+struct State<L> {
+    history: usize,
+    list: L,
+    sessions: BTreeMap<String, Session>,
+    leases: Table,
+}
+
+impl<L> State<L> {
+    fn of(machine: &Machine, list: L) -> Self {
+        let Machine { history, sessions, leases, .. } = machine;
+        Self { history: *history, list, sessions: sessions.clone(), leases: leases.clone() }
+    }
+
+    fn machine(self, seeded: bool) -> Machine
+    where
+        Store: From<L>,
+    {
+        let Self { history, list, sessions, leases } = self;
+        Machine { seeded, history, list: list.into(), sessions, leases }
+    }
+}
+
+impl Serialize for Machine {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        let form = match self.list.v1() {
+            Some(list) if self.seeded => Form::SeededV1(State::of(self, list)),
+            Some(list) => Form::UnseededV1(State::of(self, list)),
+            None => Form::V2 { seeded: self.seeded, state: State::of(self, self.list.v2()) },
+        };
+        form.serialize(to)
+    }
+}
+
+impl From<Form> for Machine {
+    fn from(kept: Form) -> Self {
+        match kept {
+            Form::UnseededV1(state) => state.machine(false),
+            Form::SeededV1(state) => state.machine(true),
+            Form::V2 { seeded, state } => state.machine(seeded),
+        }
+    }
+}
+
 impl Machine {
     /// An empty state whose list keeps this many changes for watches.
     pub fn new(history: usize) -> Self {
--- a/tests/schedules.rs
+++ b/tests/schedules.rs
@@ -88,6 +88,7 @@
         phase: Phase::Serving,
         size: 1.0,
         up_since_ms: token as f64,
+        service: String::new(),
     }
 }
 
