Routing: a table of routes by host and path prefix, checked when built

Change: src/routing/, a table that does not change once built: exact host before wildcard before any, then the longest prefix by whole segments, the next less specific host where none matches. Hash tables only, bounded by the deepest and longest route, so that a long host or path costs no more than the routes ask for. Bad hosts, prefixes, services and duplicates are refused by key.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod release;
 pub mod replica;
 pub mod roles;
+pub mod routing;
 pub mod settings;
 pub mod stand_in;
 mod state;
--- /dev/null
+++ b/src/routing/tests.rs
@@ -0,0 +1,306 @@
+use super::*;
+
+const SERVICES: [&str; 3] = ["zero", "one", "two"];
+
+fn route(host: &str, prefix: &str, service: &str) -> Route {
+    Route { host: host.into(), prefix: prefix.into(), service: service.into() }
+}
+
+fn table(routes: &[(&str, &str, &str)]) -> Result<RouteTable, RouteError> {
+    let routes: Vec<_> = routes.iter().map(|(h, p, s)| route(h, p, s)).collect();
+    RouteTable::new(&routes, &SERVICES)
+}
+
+/// A table of one route for each host; what is found tells which.
+fn hosts(hosts: &[&str]) -> RouteTable {
+    let routes: Vec<_> = hosts.iter().zip(SERVICES).map(|(h, s)| route(h, "", s)).collect();
+    RouteTable::new(&routes, &SERVICES).unwrap()
+}
+
+fn prefixes(prefixes: &[&str]) -> RouteTable {
+    let routes: Vec<_> = prefixes.iter().zip(SERVICES).map(|(p, s)| route("", p, s)).collect();
+    RouteTable::new(&routes, &SERVICES).unwrap()
+}
+
+#[test]
+fn an_exact_host_comes_before_a_wildcard_and_that_before_any() {
+    let t = hosts(&["", "*.example.com", "a.example.com"]);
+    assert_eq!(t.find("a.example.com", "/"), Some(2));
+    assert_eq!(t.find("b.example.com", "/"), Some(1));
+    assert_eq!(t.find("example.com", "/"), Some(0), "a wildcard stands for a label at least");
+    assert_eq!(t.find("badexample.com", "/"), Some(0));
+    assert_eq!(t.find("", "/"), Some(0));
+}
+
+#[test]
+fn the_longest_wildcard_wins_and_stands_for_any_labels() {
+    let t = hosts(&["*.com", "*.example.com", "*.b.example.com"]);
+    assert_eq!(t.find("x.com", "/"), Some(0));
+    assert_eq!(t.find("example.com", "/"), Some(0));
+    assert_eq!(t.find("b.example.com", "/"), Some(1));
+    assert_eq!(t.find("y.x.example.com", "/"), Some(1));
+    assert_eq!(t.find("z.y.x.b.example.com", "/"), Some(2));
+    assert_eq!(t.find("com", "/"), None);
+}
+
+#[test]
+fn case_port_and_trailing_dot_of_a_host_do_not_count() {
+    let t = hosts(&["A.Example.Com.", "*.Wild.COM."]);
+    for host in ["a.example.com", "A.EXAMPLE.com", "a.example.com.", "a.example.com:80"] {
+        assert_eq!(t.find(host, "/"), Some(0), "{host}");
+    }
+    for host in ["x.wild.com", "X.Wild.Com", "x.wild.com.", "x.wild.com.:8080", "x.wild.com:"] {
+        assert_eq!(t.find(host, "/"), Some(1), "{host}");
+    }
+}
+
+#[test]
+fn a_literal_is_kept_whole() {
+    let t = hosts(&["[::1]", "[2001:DB8::1]", "10.0.0.1"]);
+    for (host, found) in [
+        ("[::1]", Some(0)),
+        ("[::1]:8080", Some(0)),
+        ("[2001:db8::1]:80", Some(1)),
+        ("10.0.0.1:80", Some(2)),
+        ("[0::1]", None),
+        ("[::1", None),
+        ("[::1].", None),
+        ("::1", None),
+    ] {
+        assert_eq!(t.find(host, "/"), found, "{host}");
+    }
+}
+
+#[test]
+fn a_host_that_is_no_name_matches_routes_for_any_host_only() {
+    let t = hosts(&["", "*.example.com", "example.com"]);
+    for host in [
+        ".example.com",
+        "a..example.com",
+        "example.com..",
+        "a.example.com:http",
+        "u@a.example.com",
+        "a:b.example.com",
+        "http://a.example.com",
+        ".",
+        "..",
+        ":",
+        ":80",
+        "*",
+        "é",
+        "[",
+        "]",
+    ] {
+        assert_eq!(t.find(host, "/"), Some(0), "{host}");
+    }
+    assert_eq!(t.find("é.example.com", "/"), Some(1), "a name that DNS would not have is one here");
+}
+
+#[test]
+fn a_prefix_matches_whole_segments() {
+    let t = prefixes(&["/api", "/api/v1/x"]);
+    for path in ["/api", "/api/", "/api/x", "/api//", "/api/v1", "/api/v1/xx", "/api?x=/api/v1/x"] {
+        assert_eq!(t.find("h", path), Some(0), "{path}");
+    }
+    for path in ["/api/v1/x", "/api/v1/x/", "/api/v1/x/y/z", "/api/v1/x?q"] {
+        assert_eq!(t.find("h", path), Some(1), "{path}");
+    }
+    for path in ["/apis", "/ap", "/", "", "*", "api", "xapi/", "é", "/é", "?/api", "/API"] {
+        assert_eq!(t.find("h", path), None, "{path}");
+    }
+}
+
+#[test]
+fn paths_are_compared_as_written() {
+    let t = prefixes(&["/a", "/%61", "/b/../a"]);
+    assert_eq!(t.find("", "/a"), Some(0));
+    assert_eq!(t.find("", "/%61"), Some(1));
+    assert_eq!(t.find("", "/b/../a"), Some(2));
+    assert_eq!(t.find("", "/./a"), None);
+    assert_eq!(t.find("", "//a"), None);
+    let t = prefixes(&["/a", "/a//b"]);
+    assert_eq!(t.find("", "/a//b/c"), Some(1));
+    assert_eq!(t.find("", "/a/b"), Some(0));
+}
+
+#[test]
+fn slashes_at_the_end_of_a_prefix_change_nothing() {
+    for all in ["", "/", "//"] {
+        let t = prefixes(&[all, "/api/"]);
+        assert_eq!(t.find("", "/api"), Some(1));
+        assert_eq!(t.find("", "/api/x"), Some(1));
+        for path in ["/", "", "*", "/apis", "//"] {
+            assert_eq!(t.find("", path), Some(0), "{path}");
+        }
+    }
+}
+
+#[test]
+fn the_host_is_decided_before_the_prefix() {
+    let t = table(&[("a.b", "/x", "zero"), ("*.b", "/x/y/z", "one"), ("", "/x/y", "two")]).unwrap();
+    assert_eq!(t.find("a.b", "/x/y/z"), Some(0));
+    assert_eq!(t.find("c.b", "/x/y/z"), Some(1));
+    assert_eq!(t.find("c.b", "/x/y"), Some(2), "no route of *.b matches: the next host is tried");
+    assert_eq!(t.find("a.b", "/y"), None);
+}
+
+/// Why this is refused as the second of two routes.
+fn refused(host: &str, prefix: &str, service: &str) -> String {
+    let error = table(&[("ok", "/ok", "zero"), (host, prefix, service)]).unwrap_err();
+    let said = error.to_string();
+    assert_eq!(said, format!("{}: {}", error.key(), error.cause()));
+    said
+}
+
+#[test]
+fn a_host_that_cannot_be_is_refused_by_its_key() {
+    let wild =
+        "a wildcard is the whole first label, with a name behind it, as in \"*.example.com\"";
+    for (host, cause) in [
+        (".", "a label of the name is empty"),
+        ("a..b", "a label of the name is empty"),
+        (".a", "a label of the name is empty"),
+        ("a..", "a label of the name is empty"),
+        ("*..a", "a label of the name is empty"),
+        ("*.", wild),
+        ("*", wild),
+        ("*a.b", wild),
+        ("a.*", wild),
+        ("a.*.b", wild),
+        ("*.*.b", wild),
+        ("a.b:80", "':' is no character of a host name"),
+        ("a_b", "'_' is no character of a host name"),
+        ("a b", "' ' is no character of a host name"),
+        ("é", "'é' is no character of a host name"),
+        ("a\n", "'\\n' is no character of a host name"),
+        ("a/b", "'/' is no character of a host name"),
+        ("::1", "':' is no character of a host name"),
+        ("[::1", "not an IPv6 address in brackets"),
+        ("[]", "not an IPv6 address in brackets"),
+        ("[::1]:80", "not an IPv6 address in brackets"),
+        ("[::1].", "not an IPv6 address in brackets"),
+        ("[10.0.0.1]", "not an IPv6 address in brackets"),
+        ("[fe80::1%eth0]", "not an IPv6 address in brackets"),
+    ] {
+        assert_eq!(refused(host, "", "one"), format!("routes[1].host: {cause}"), "{host}");
+    }
+}
+
+#[test]
+fn hosts_are_as_long_as_dns_allows_and_no_longer() {
+    let label = "l".repeat(63);
+    let longest = format!("{label}.{label}.{label}.{}", "l".repeat(61));
+    let t = hosts(&[&longest, &format!("*.{longest}")]);
+    assert_eq!(t.find(&longest.to_uppercase(), "/"), Some(0));
+    assert_eq!(t.find(&format!("a.{longest}.:80"), "/"), Some(1));
+    let long = "routes[1].host: a label has 64 bytes, 63 at most";
+    assert_eq!(refused(&format!("a.l{label}"), "", "one"), long);
+    let long = "routes[1].host: the name has 254 bytes, 253 at most";
+    assert_eq!(refused(&format!("{longest}l"), "", "one"), long);
+    assert_eq!(refused(&format!("*.{longest}l."), "", "one"), long);
+}
+
+#[test]
+fn a_prefix_that_cannot_be_is_refused_by_its_key() {
+    for (prefix, cause) in [
+        ("api", "does not begin with \"/\""),
+        ("*", "does not begin with \"/\""),
+        ("é", "does not begin with \"/\""),
+        ("/a?b", "'?' is no character of a path"),
+        ("/a#", "'#' is no character of a path"),
+        ("/a b", "' ' is no character of a path"),
+        ("/a\0", "'\\0' is no character of a path"),
+        ("/\u{7f}", "'\\u{7f}' is no character of a path"),
+        ("/a\r\n", "'\\r' is no character of a path"),
+    ] {
+        assert_eq!(refused("", prefix, "one"), format!("routes[1].prefix: {cause}"), "{prefix}");
+    }
+    let longest = format!("/{}", "p".repeat(4095));
+    assert_eq!(prefixes(&[&longest]).find("", &format!("{longest}/x")), Some(0));
+    let long = "routes[1].prefix: has 4097 bytes, 4096 at most";
+    assert_eq!(refused("", &format!("{longest}p"), "one"), long);
+}
+
+#[test]
+fn an_unknown_service_is_refused_by_its_key() {
+    for service in ["", "Zero", "three"] {
+        let cause = format!("routes[1].service: no service is called {service:?}");
+        assert_eq!(refused("", "", service), cause);
+    }
+    let none: [&str; 0] = [];
+    let error = RouteTable::new(&[route("", "", "zero")], &none).unwrap_err();
+    assert_eq!(error, RouteError::Service { route: 0, service: "zero".into() });
+}
+
+#[test]
+fn the_same_host_and_prefix_twice_are_refused_whatever_the_service() {
+    for (first, second) in [
+        (("", ""), ("", "/")),
+        (("", "/api"), ("", "/api//")),
+        (("A.b", "/"), ("a.B.", "")),
+        (("*.a.b", "/x"), ("*.A.b.", "/x/")),
+        (("[::A]", "/x"), ("[::a]", "/x")),
+    ] {
+        for service in ["zero", "one"] {
+            let error = table(&[
+                ("other", "/x", "zero"),
+                (first.0, first.1, "zero"),
+                (second.0, second.1, service),
+            ]);
+            let error = error.unwrap_err();
+            assert_eq!(error, RouteError::Duplicate { route: 2, first: 1 }, "{second:?}");
+            assert_eq!(error.to_string(), "routes[2]: the same host and prefix as routes[1]");
+        }
+    }
+    let others = [("", "/x"), ("a.b", "/x"), ("*.a.b", "/x"), ("a.b", "/X"), ("a.b", "/x//y")];
+    let others: Vec<_> = others.iter().map(|(h, p)| (*h, *p, "zero")).collect();
+    assert_eq!(table(&others).unwrap().len(), 5);
+}
+
+#[test]
+fn the_first_route_at_fault_is_named() {
+    let error = table(&[("", "", "zero"), ("", "x", "three"), ("..", "", "zero")]).unwrap_err();
+    assert_eq!(error, RouteError::Prefix { route: 1, fault: PrefixFault::NoSlash });
+}
+
+#[test]
+fn a_table_without_routes_finds_none() {
+    let t = table(&[]).unwrap();
+    assert!(t.is_empty() && t.len() == 0);
+    assert_eq!(t.find_counted("a.b.c", "/x/y/z"), (None, 0));
+}
+
+#[test]
+fn routes_are_read_with_every_unknown_key_refused() {
+    #[derive(Debug, serde::Deserialize)]
+    struct File {
+        routes: Vec<Route>,
+    }
+    let file: File = toml::from_str(
+        "[[routes]]\nservice = \"one\"\n[[routes]]\nhost = \"a\"\nprefix = \"/b\"\nservice = \"two\"",
+    )
+    .unwrap();
+    assert_eq!(file.routes, [route("", "", "one"), route("a", "/b", "two")]);
+    for bad in ["routes = [{ host = \"a\" }]", "routes = [{ service = \"a\", path = \"/\" }]"] {
+        assert!(toml::from_str::<File>(bad).is_err(), "{bad}");
+    }
+}
+
+#[test]
+fn what_is_longer_than_every_route_is_not_looked_up() {
+    let t = table(&[
+        ("a.example.com", "/x/y", "zero"),
+        ("*.example.com", "/x", "one"),
+        ("", "/longer", "two"),
+    ])
+    .unwrap();
+    let (labels, segments) = ("a.".repeat(10_000), "/x".repeat(10_000));
+    // The exact host, the wildcard's name, and "/x" within it.
+    let host = format!("{labels}example.com");
+    assert_eq!(t.find_counted(&host, &segments), (Some(1), 3));
+    // The exact host, "/x/x" and "/x" within it, then as above.
+    assert_eq!(t.find_counted("a.example.com", &segments), (Some(1), 5));
+    // The exact host, nothing else.
+    let (host, path) = ("a".repeat(60_000), format!("/{}", "y".repeat(60_000)));
+    assert_eq!(t.find_counted(&host, &path), (None, 1));
+}
