Services: a balancer each behind routes, decided apart from I/O; not wired into the proxy yet

Change: src/services: a catalog (names, settings over the balancer's, routes; checked whole, refused by key), a directory (which upstream is whose; one that moves is another upstream there) and the services themselves, a policy::Balancer each. A change, a tick and a request cost what their service costs: an idle service's timer is not armed, and the first event finds the tick made up for. One service asks for the list of all. A catalog takes the place of another without a restart. settings::Service is settings::Class now, which is what it states; the JSON key stays. The rule on a service's name is one function.

--- a/src/bin/hollowpaddle-benchlink/instance.rs
+++ b/src/bin/hollowpaddle-benchlink/instance.rs
@@ -44,7 +44,7 @@
         Ok(Self {
             who: init.who,
             balancer: Balancer::new(facts.settings(), init.entropy, now)?,
-            classes: facts.services.len(),
+            classes: facts.classes.len(),
             advise: facts.policy_limits.retry_after,
             fields: facts.stats.names.iter().map(|name| Field::named(name)).collect(),
             servers: FxHashMap::default(),
--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -132,7 +132,7 @@
 
     /// How long after SIGTERM the last answer has to be out.
     fn time_to_end(&self) -> Duration {
-        let longest = self.facts.services.iter().map(|s| s.deadline.max(0.0)).fold(0.0, f64::max);
+        let longest = self.facts.classes.iter().map(|s| s.deadline.max(0.0)).fold(0.0, f64::max);
         let longest = Duration::try_from_secs_f64(longest / 1000.0).unwrap_or(Duration::MAX);
         longest.min(LONGEST_BEFORE_KILL) + KILL_AFTER - BEFORE_KILL
     }
@@ -338,7 +338,7 @@
         let text = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
         text("x-request-id").filter(|id| !id.is_empty()).ok_or("X-Request-Id")?;
         let class = text("x-class").ok_or("X-Class")?;
-        let class = self.facts.services.iter().position(|s| s.name == class).ok_or("X-Class")?;
+        let class = self.facts.classes.iter().position(|s| s.name == class).ok_or("X-Class")?;
         let key = head.headers.get("idempotency-key");
         let fits = match self.effects[class] {
             Effect::Safe => head.method == Method::GET && body.is_empty(),
--- a/src/bin/hollowpaddle/main.rs
+++ b/src/bin/hollowpaddle/main.rs
@@ -117,7 +117,7 @@
     let listener = open(config.listen)?;
     let calls = config.management.map(open).transpose()?;
     let budget = config.budget();
-    let classes = config.facts.services.iter().map(|s| s.name.as_str());
+    let classes = config.facts.classes.iter().map(|s| s.name.as_str());
     let figures = Figures::new(classes, config.management.is_some());
     let keeper = config.state_dir.as_deref().map(Keeper::open).transpose();
     let keeper = keeper.map_err(|e| format!("state_dir: {e}"))?;
--- a/src/discovery/member.rs
+++ b/src/discovery/member.rs
@@ -100,16 +100,20 @@
         if self.host_port.parse::<std::net::SocketAddr>().is_err() {
             return Some(("host_port", "an address and port"));
         }
-        if self.service.len() > LONGEST_SERVICE
-            || self.service.contains(|c: char| c == ',' || c.is_control())
-        {
-            return Some(("service", "at most 256 bytes, no comma, no control character"));
+        if let Some(cause) = service_fault(&self.service) {
+            return Some(("service", cause));
         }
         let sound = self.size.is_finite() && self.size > 0.0 && self.up_since_ms >= 0.0;
         (!sound).then_some(("size", "above 0, and up_since_ms not below"))
     }
 }
 
+/// What keeps this from being the name of a service: longer than [`LONGEST_SERVICE`], a comma or a control character.
+pub fn service_fault(name: &str) -> Option<&'static str> {
+    let unfit = name.len() > LONGEST_SERVICE || name.contains(|c: char| c == ',' || c.is_control());
+    unfit.then_some("at most 256 bytes, no comma, no control character")
+}
+
 /// The longest id, in bytes.
 pub const LONGEST_ID: usize = 256;
 /// The longest name of a service, in bytes.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod replica;
 pub mod roles;
 pub mod routing;
+pub mod services;
 pub mod settings;
 pub mod stand_in;
 mod state;
--- /dev/null
+++ b/src/services/tests.rs
@@ -0,0 +1,299 @@
+use super::*;
+use crate::discovery::member::{Member as Entry, Phase};
+use crate::interface::{Answer, Outcome, Request, RequestId, ServerId};
+use crate::routing::Route;
+use crate::settings::Facts;
+
+const MS: i64 = 1000;
+
+fn facts(mode: &str) -> Facts {
+    let text = serde_json::json!({
+        "Balancers": 1, "Tick": 1.0, "RegistryMode": mode, "Zones": ["a"], "MachineTypes": ["m"],
+        "Services": [{"Name": "read", "Aim": 200.0, "Deadline": 600.0, "Effect": "retryable"}],
+        "PolicyLimits": {"MaxAttempts": 3},
+        "Safety": {"Cold": 5000.0, "ColdFrom": 0.2, "FallMultiple": 3.0, "TipAfter": 1000.0,
+            "DrainClose": 50.0, "AskEvery": 2000.0},
+    });
+    serde_json::from_value(text).expect("sound")
+}
+
+fn catalog(names: &[&str]) -> Rc<Catalog> {
+    let entry = |name: &&str| ServiceEntry { name: (*name).to_owned(), ..ServiceEntry::default() };
+    let route = |name: &&str| Route {
+        prefix: format!("/{name}"),
+        service: (*name).to_owned(),
+        ..Route::default()
+    };
+    let entries: Vec<_> = names.iter().map(entry).collect();
+    let routes: Vec<_> = names.iter().map(route).collect();
+    Rc::new(Catalog::new(&facts("subscribe"), &entries, &routes).expect("sound"))
+}
+
+fn entry(id: &str, service: &str, phase: Phase) -> Entry {
+    Entry {
+        id: id.to_owned(),
+        host_port: "127.0.0.1:9".to_owned(),
+        locality: "a".to_owned(),
+        flavor: "m".to_owned(),
+        cell: 0,
+        phase,
+        size: 1.0,
+        up_since_ms: 0.0,
+        service: service.to_owned(),
+    }
+}
+
+/// A caller that keeps the timers, and counts what it is asked to do.
+struct Caller {
+    services: Services,
+    now: Time,
+    timers: Vec<(ServiceId, u64, Time)>,
+    fired: usize,
+    actions: Vec<(ServiceId, Action)>,
+    revision: u64,
+}
+
+impl Caller {
+    fn new(names: &[&str]) -> Self {
+        let now = Time(1_000_000 * MS);
+        let services = Services::new(catalog(names), 7, now).expect("sound");
+        let (timers, actions) = (Vec::new(), Vec::new());
+        Self { services, now, timers, fired: 0, actions, revision: 0 }
+    }
+
+    fn tell(&mut self, service: ServiceId, event: Event<'_>) {
+        let mut out = Vec::new();
+        self.services.handle(self.now, service, event, &mut out);
+        for action in out {
+            if let Action::Arm { token, at } = action {
+                self.timers.push((service, token, at));
+            }
+            self.actions.push((service, action));
+        }
+    }
+
+    fn list(&mut self, kind: ListKind, members: Vec<Entry>) -> Told {
+        self.revision += 1;
+        let complete = kind != ListKind::Update;
+        let list = Message { revision: self.revision, complete, members };
+        let told = self.services.told(&list, kind);
+        for (service, members) in &told.members {
+            self.tell(*service, Event::Members { kind, list: members });
+        }
+        told
+    }
+
+    fn pass(&mut self, span: Span) {
+        let end = self.now.plus(span);
+        while let Some(i) = (0..self.timers.len()).min_by_key(|i| self.timers[*i].2) {
+            if self.timers[i].2 > end {
+                break;
+            }
+            let (service, token, at) = self.timers.swap_remove(i);
+            self.now = self.now.max(at);
+            self.fired += 1;
+            self.tell(service, Event::Timer(token));
+        }
+        self.now = end;
+    }
+
+    fn request(&mut self, service: ServiceId, id: u64) -> Option<ServerId> {
+        self.services.opened(service);
+        let request = Request::new(RequestId(id), 0, self.now.plus(Span(600 * MS)));
+        let from = self.actions.len();
+        self.tell(service, Event::Request(request));
+        self.actions[from..].iter().find_map(|(_, action)| match action {
+            Action::Send { server, .. } => Some(*server),
+            _ => None,
+        })
+    }
+
+    fn served(&mut self, service: ServiceId, id: u64, server: ServerId) {
+        let answer = Answer::new(RequestId(id), 0, server, Outcome::Ok, Span(10 * MS), true);
+        self.tell(service, Event::Answered(answer));
+        self.services.closed(service);
+    }
+
+    fn count(&self, which: impl Fn(&Action) -> bool) -> usize {
+        self.actions.iter().filter(|(_, action)| which(action)).count()
+    }
+}
+
+fn fleet(names: &[&str], each: usize) -> Vec<Entry> {
+    let of = |name: &&str| -> Vec<Entry> {
+        (0..each).map(|i| entry(&format!("{name}-{i}"), name, Phase::Serving)).collect()
+    };
+    names.iter().flat_map(of).collect()
+}
+
+fn names(n: usize) -> Vec<String> {
+    (0..n).map(|i| format!("svc-{i}")).collect()
+}
+
+/// Timers that fire while one service of this many is busy for a second, and then for a second of quiet.
+fn timers_beside(idle: usize) -> (usize, usize) {
+    let names = names(idle + 1);
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut caller = Caller::new(&names);
+    caller.list(ListKind::Whole, fleet(&names, 3));
+    caller.pass(Span(1000 * MS));
+    caller.fired = 0;
+    let busy = ServiceId(0);
+    for id in 0..100 {
+        let server = caller.request(busy, id).expect("it is sent");
+        caller.pass(Span(10 * MS));
+        caller.served(busy, id, server);
+    }
+    let fired = std::mem::take(&mut caller.fired);
+    caller.pass(Span(1000 * MS));
+    (fired, caller.fired)
+}
+
+#[test]
+fn idle_services_beside_a_busy_one_cost_no_tick() {
+    let (busy, quiet) = timers_beside(0);
+    assert!(busy >= 50, "a busy service ticks: {busy}");
+    assert!(quiet <= 1, "and rests when it is done: {quiet}");
+    assert_eq!(timers_beside(209), (busy, quiet));
+}
+
+#[test]
+fn a_change_costs_the_service_that_it_names() {
+    for services in [2, 210] {
+        let names = names(services);
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        let mut caller = Caller::new(&names);
+        let told = caller.list(ListKind::Whole, fleet(&names, 3));
+        assert_eq!((told.members.len(), told.changes.len()), (services, 3 * services));
+        // Of the first service, which asks for all, there is a part in any case.
+        let told = caller.list(ListKind::Update, vec![entry("svc-1-0", "svc-1", Phase::Draining)]);
+        let parts: Vec<_> = told.members.iter().map(|(s, part)| (s.0, part.len())).collect();
+        assert_eq!((parts, told.changes.len()), (vec![(0, 0), (1, 1)], 1));
+    }
+}
+
+#[test]
+fn one_service_asks_for_the_list_of_all() {
+    let mut caller = Caller::new(&["a", "b", "c"]);
+    caller.list(ListKind::Restored, Vec::new());
+    caller.pass(Span(2000 * MS));
+    let asked = caller.count(|a| matches!(a, Action::Subscribe));
+    assert!(asked >= 1, "it is asked for");
+    let of_others = caller.actions.iter().filter(|(s, a)| s.0 > 0 && *a == Action::Subscribe);
+    assert_eq!(of_others.count(), 0);
+    caller.list(ListKind::Whole, fleet(&["a", "b"], 1));
+    caller.pass(Span(1000 * MS));
+    let asked = caller.count(|a| matches!(a, Action::Subscribe));
+    caller.fired = 0;
+    caller.pass(Span(60_000 * MS));
+    assert_eq!(caller.count(|a| matches!(a, Action::Subscribe)), asked, "it was told");
+    assert_eq!(caller.fired, 0, "all rest");
+    // What is lost is asked for again, though all rest.
+    for service in caller.services.ids() {
+        caller.tell(service, Event::Members { kind: ListKind::Unavailable, list: &[] });
+    }
+    caller.pass(Span(4000 * MS));
+    assert!(caller.count(|a| matches!(a, Action::Subscribe)) > asked);
+}
+
+#[test]
+fn an_upstream_that_moves_is_gone_where_it_was_and_another_where_it_is() {
+    let mut caller = Caller::new(&["a", "b"]);
+    let (a, b) = (ServiceId(0), ServiceId(1));
+    caller.list(ListKind::Whole, vec![entry("s", "a", Phase::Serving)]);
+    let first = caller.request(a, 1).expect("sent");
+    let told = caller.list(ListKind::Update, vec![entry("s", "b", Phase::Serving)]);
+    assert_eq!(told.changes.len(), 2);
+    assert_eq!((told.changes[0].server, told.changes[0].status), (first, Status::Gone));
+    assert_eq!(caller.request(a, 2), None, "gone there");
+    let second = caller.request(b, 3).expect("sent");
+    assert_ne!(first, second);
+    // To none of ours, and deleted without a word of whose it was.
+    caller.list(ListKind::Update, vec![entry("s", "elsewhere", Phase::Serving)]);
+    assert!(!caller.services.any_live());
+    caller.list(ListKind::Update, vec![entry("s", "b", Phase::Serving)]);
+    assert!(caller.services.any_live());
+    caller.list(ListKind::Update, vec![entry("s", "", Phase::Deleted)]);
+    assert!(!caller.services.any_live());
+    assert_eq!(caller.request(b, 4), None);
+}
+
+#[test]
+fn what_a_whole_list_leaves_out_is_gone_in_every_service() {
+    let mut caller = Caller::new(&["a", "b"]);
+    caller.list(ListKind::Whole, fleet(&["a", "b"], 2));
+    let told = caller.list(ListKind::Whole, fleet(&["a"], 1));
+    let gone = told.changes.iter().filter(|c| c.status == Status::Gone).count();
+    assert_eq!(gone, 3);
+    assert_eq!(caller.request(ServiceId(1), 1), None);
+    assert!(caller.request(ServiceId(0), 2).is_some());
+}
+
+#[test]
+fn idle_connections_to_what_leaves_are_closed_in_time_and_then_the_service_rests() {
+    let mut caller = Caller::new(&["a", "b"]);
+    caller.list(ListKind::Whole, fleet(&["a", "b"], 1));
+    let server = caller.request(ServiceId(1), 1).expect("sent");
+    caller.pass(Span(200 * MS));
+    caller.list(ListKind::Update, vec![entry("b-0", "b", Phase::Draining)]);
+    caller.pass(Span(200 * MS));
+    let closes = |c: &Caller| c.count(|a| *a == Action::CloseIdle { server });
+    let before = closes(&caller);
+    caller.served(ServiceId(1), 1, server);
+    caller.pass(Span(100 * MS));
+    assert!(
+        closes(&caller) > before + 1,
+        "on the outcome, and once a sweep for as long as the rule"
+    );
+    caller.fired = 0;
+    caller.pass(Span(10_000 * MS));
+    assert!(caller.fired <= 1, "then it rests: {}", caller.fired);
+}
+
+#[test]
+fn a_catalog_takes_the_place_of_another_and_what_stays_goes_on() {
+    let mut caller = Caller::new(&["a", "b"]);
+    caller.list(ListKind::Whole, fleet(&["a", "b"], 1));
+    let out = caller.request(ServiceId(1), 1).expect("sent");
+    let reloaded = caller.services.reload(catalog(&["c", "a"]), caller.now).expect("it can");
+    assert_eq!((reloaded.removed.clone(), reloaded.added), (vec![ServiceId(1)], 1));
+    assert_eq!(reloaded.changes.len(), 1);
+    assert!(!caller.services.serves(ServiceId(1)) && caller.services.serves(ServiceId(0)));
+    let found = |path: &str| reloaded.routing.find("", path).map(|(id, s)| (id, s.name.clone()));
+    assert_eq!(found("/a"), Some((ServiceId(0), "a".into())));
+    assert_eq!(found("/c"), Some((ServiceId(2), "c".into())));
+    assert_eq!(found("/b"), None);
+    // What is out there ends in its time.
+    caller.tell(ServiceId(1), Event::Members { kind: ListKind::Whole, list: &[] });
+    caller.served(ServiceId(1), 1, out);
+    assert!(caller.services.slots[1].balancer.is_none(), "and then nothing is kept of it");
+    caller.list(ListKind::Whole, fleet(&["a", "c"], 1));
+    assert!(caller.request(ServiceId(2), 2).is_some());
+    assert!(caller.request(ServiceId(0), 3).is_some());
+    // Of the same name again it is another service.
+    let again = caller.services.reload(catalog(&["a", "b"]), caller.now).expect("it can");
+    assert_eq!(again.routing.find("", "/b").map(|(id, _)| id), Some(ServiceId(3)));
+    let single = Rc::new(Catalog::single(&facts("subscribe")).expect("sound"));
+    let refused = caller.services.reload(single, caller.now);
+    assert_eq!(refused.expect_err("it can't"), ReloadError::Kind);
+    let entries = [ServiceEntry {
+        name: "b".into(),
+        settings: Overrides { over_share_worth: Some(0.5), ..Overrides::default() },
+    }];
+    let other = Catalog::new(&facts("subscribe"), &entries, &[]).expect("sound");
+    let refused = caller.services.reload(Rc::new(other), caller.now);
+    assert_eq!(refused.expect_err("it can't"), ReloadError::Settings(0));
+    assert!(caller.services.serves(ServiceId(0)), "what was in force still is");
+}
+
+#[test]
+fn a_single_service_takes_every_upstream_and_never_rests() {
+    let catalog = Rc::new(Catalog::single(&facts("automatic")).expect("sound"));
+    let mut caller = Caller::new(&["unused"]);
+    caller.services = Services::new(catalog, 7, caller.now).expect("sound");
+    caller.list(ListKind::Whole, vec![entry("s", "any", Phase::Serving)]);
+    caller.pass(Span(1000 * MS));
+    assert!(caller.fired >= 100, "its timer as ever: {}", caller.fired);
+    assert!(caller.request(ServiceId(0), 1).is_some());
+    assert!(caller.services.routing().find("any.example", "/any").is_some());
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -65,7 +65,7 @@
     1.0
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct Facts {
     pub balancers: u32,
@@ -79,7 +79,9 @@
     pub machine_types: Vec<String>,
     pub tick: f64,
     pub registry_mode: RegistryMode,
-    pub services: Vec<Service>,
+    /// Request classes; the deployment's word for them is older than ours for what routes lead to.
+    #[serde(rename = "Services")]
+    pub classes: Vec<Class>,
     #[serde(default)]
     pub tenants: Vec<Tenant>,
     pub policy_limits: PolicyLimits,
@@ -98,7 +100,7 @@
     pub over_share_worth: f64,
 }
 
-#[derive(Clone, Debug, Deserialize, Default)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 pub struct ScoringMix {
     pub whole: f64,
@@ -107,13 +109,13 @@
     pub worst_tenant: f64,
 }
 
-#[derive(Clone, Debug, Deserialize, Default)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 pub struct ClientHabits {
     pub marks_retry: bool,
 }
 
-#[derive(Clone, Debug, Deserialize, Default, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Default)]
 #[serde(rename_all = "lowercase")]
 pub enum CountedBy {
     #[default]
@@ -121,16 +123,16 @@
     Work,
 }
 
-#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum RegistryMode {
     Automatic,
     Subscribe,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(rename_all = "PascalCase")]
-pub struct Service {
+pub struct Class {
     #[serde(default)]
     pub name: String,
     pub aim: f64,
@@ -156,7 +158,7 @@
     pub bound_to: Option<Vec<u32>>,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Effect {
     Retryable,
@@ -164,7 +166,7 @@
     Fragile,
 }
 
-#[derive(Clone, Debug, Deserialize, Default)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Default)]
 #[serde(rename_all = "lowercase")]
 pub enum Group {
     #[default]
@@ -173,7 +175,7 @@
     Cell,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct Tenant {
     #[serde(default)]
@@ -184,7 +186,7 @@
     pub share: f64,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct PolicyLimits {
     pub max_attempts: usize,
@@ -206,7 +208,7 @@
     pub streams_per_conn: u32,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct Safety {
     #[serde(default)]
@@ -225,7 +227,7 @@
     pub turn_gap: f64,
 }
 
-#[derive(Clone, Debug, Deserialize, Default)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 pub struct Prices {
     pub cross_zone: f64,
@@ -235,14 +237,14 @@
     pub late_fail: f64,
 }
 
-#[derive(Clone, Debug, Deserialize, Default)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 pub struct Stats {
     pub names: Vec<String>,
     pub how: How,
 }
 
-#[derive(Clone, Debug, Deserialize, Default)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Default)]
 #[serde(rename_all = "lowercase")]
 pub enum How {
     Piggyback,
@@ -255,7 +257,7 @@
     /// The module's settings: names become indexes, milliseconds microseconds.
     pub fn settings(&self) -> d::Settings {
         let facts = self;
-        let class = |s: &Service| d::Class {
+        let class = |s: &Class| d::Class {
             aim: span(s.aim),
             deadline: span(s.deadline),
             worth: s.importance,
@@ -279,7 +281,7 @@
         };
         let limits = &facts.policy_limits;
         d::Settings {
-            classes: facts.services.iter().map(class).collect(),
+            classes: facts.classes.iter().map(class).collect(),
             tenants: facts
                 .tenants
                 .iter()
