--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use hollowpaddle::discovery::client::{self, News, Order};
+use hollowpaddle::discovery::filter::Filter;
 use hollowpaddle::discovery::follow::{Follow, Mode};
 use hollowpaddle::discovery::keeper::Keeper;
 use hollowpaddle::discovery::member::{Member as Entry, Message as List, Phase};
@@ -277,7 +278,7 @@
         let (orders, ordered) = mpsc::unbounded_channel();
         let (tell, news) = mpsc::unbounded_channel();
         let tell = move |news| drop(tell.send(news));
-        let client = client::run(follow, client::connect, ordered, tell);
+        let client = client::run(follow, Filter::all(), client::connect, ordered, tell);
         let mut engine = Self {
             balancer: Balancer::new(settings, config.seed, clock.now())?,
             clock,
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -9,6 +9,8 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 
+use crate::discovery::member;
+
 /// Exit code of a configuration that was refused, as for a command line that was (clap's own).
 pub const EXIT_CONFIG: u8 = 2;
 /// Exit code of a release that was rolled back.
@@ -151,11 +153,18 @@
     /// Management addresses of list-service instances to register with.
     #[arg(long, value_delimiter = ',')]
     pub services: Vec<SocketAddr>,
+    /// The service that it registers in; without, in none.
+    #[arg(long, default_value = "", value_parser = service)]
+    pub service: String,
     /// TTL of the registration, in milliseconds.
     #[arg(long, default_value_t = 10_000, value_parser = clap::value_parser!(u64).range(50..=3_600_000))]
     pub ttl_ms: u64,
 }
 
+fn service(name: &str) -> Result<String, &'static str> {
+    member::service_fault(name).map_or(Ok(name.to_owned()), Err)
+}
+
 /// What `check` is told.
 #[derive(Debug, clap::Args)]
 #[command(group = clap::ArgGroup::new("what").required(true).args(["config", "state_dir"]))]
--- a/src/discovery/client.rs
+++ b/src/discovery/client.rs
@@ -18,8 +18,9 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
 
+use super::filter::Filter;
 use super::follow::{Follow, Step, Verdict};
-use super::member::{Message, MessageError};
+use super::member::{Message, MessageError, Phase};
 use super::objects::{ObjectError, Objects};
 use crate::tasks::{AbortOnDrop, settle};
 
@@ -39,6 +40,9 @@
     Ask,
     /// The list is to be had from these addresses from now on.
     Moved(Vec<SocketAddr>),
+    /// These services are followed from now on. What is told next is their whole list, of the revision held or a later
+    /// one; of the services before, nothing more is told.
+    Filter(Filter),
 }
 
 /// What the client tells.
@@ -86,9 +90,11 @@
     Ok(stream)
 }
 
-/// Follows the list until `orders` is closed. `connect` opens a connection, [`connect`] in service.
+/// Follows the list, or the services of it that `filter` takes, until `orders` is closed. `connect` opens a connection,
+/// [`connect`] in service.
 pub async fn run<C, F, S>(
     mut follow: Follow,
+    mut filter: Filter,
     connect: C,
     mut orders: mpsc::UnboundedReceiver<Order>,
     tell: impl Fn(News),
@@ -106,9 +112,10 @@
             match step {
                 Step::Call { serial, address, index } => {
                     let (stream, say) = (connect(address), say.clone());
+                    let uri = format!("/api/targets?stream=1&index={index}{}", filter.query());
                     let call = tokio::task::spawn_local(async move {
                         let word = |word| drop(say.send((serial, address, word)));
-                        if let Err(cause) = watch(stream, address, index, word).await {
+                        if let Err(cause) = watch(stream, address, uri, word).await {
                             word(Word::Ended(cause));
                         }
                     });
@@ -128,6 +135,11 @@
             order = orders.recv() => match order {
                 Some(Order::Ask) => follow.ask(Instant::now()),
                 Some(Order::Moved(addresses)) => follow.moved(addresses, Instant::now()),
+                Some(Order::Filter(other)) if other != filter => {
+                    filter = other;
+                    follow.refiltered(Instant::now());
+                }
+                Some(Order::Filter(_)) => {}
                 None => return,
             },
             word = words.recv() => {
@@ -142,8 +154,14 @@
                             trouble.clear();
                         }
                     }
-                    Word::Told(list) => {
+                    Word::Told(mut list) => {
                         let (held, told) = (follow.revision(), list.revision);
+                        if follow.whole() && !list.complete {
+                            // All changes there were.
+                            list.complete = true;
+                            list.members.retain(|m| m.phase != Phase::Deleted);
+                        }
+                        filter.narrow(&mut list);
                         match follow.told(serial, told, now) {
                             Verdict::Take => tell(News::Told(list)),
                             Verdict::Older if trouble != OLDER => {
@@ -187,7 +205,7 @@
 async fn watch<S>(
     connecting: impl Future<Output = std::io::Result<S>>,
     address: SocketAddr,
-    index: u64,
+    uri: String,
     say: impl Fn(Word),
 ) -> Result<(), WatchError>
 where
@@ -198,9 +216,7 @@
     let _connection = AbortOnDrop(tokio::task::spawn_local(async move {
         let _ = connection.await;
     }));
-    let request = Request::get(format!("/api/targets?stream=1&index={index}"))
-        .header(HOST, address.to_string())
-        .body(Empty::<Bytes>::new())?;
+    let request = Request::get(uri).header(HOST, address.to_string()).body(Empty::<Bytes>::new())?;
     let response = sender.send_request(request).await?;
     if !response.status().is_success() {
         return Err(WatchError::Status(response.status()));
--- a/src/discovery/follow.rs
+++ b/src/discovery/follow.rs
@@ -86,6 +86,8 @@
     revision: u64,
     /// Whether the next list is taken whatever its revision.
     anew: bool,
+    /// Whether the next list has to be a whole one: what is held is of other services.
+    whole: bool,
     failures: usize,
     waits: ExponentialBackoff,
     serial: u64,
@@ -116,6 +118,7 @@
             mode,
             revision,
             anew: false,
+            whole: false,
             failures: 0,
             waits: waits(),
             serial: 0,
@@ -130,6 +133,13 @@
         follow
     }
 
+    /// The same, for one whose list of this revision is of other services than it follows: it asks for the whole list,
+    /// and takes none that is older.
+    pub fn asking_whole(mut self) -> Self {
+        self.whole = true;
+        self
+    }
+
     /// The time between two calls while nobody speaks. Of the one agent of this machine: what it learns counts as told
     /// at once, and has to be heard well within the grace. Where lists are asked for, half the time of a call.
     pub fn again(&self) -> Duration {
@@ -165,6 +175,18 @@
         self.call_alone(now);
     }
 
+    /// Other services are followed from now on: the whole list is asked for, at once, and what is no older than that
+    /// held is taken.
+    pub fn refiltered(&mut self, now: Instant) {
+        self.whole = true;
+        self.call_alone(now);
+    }
+
+    /// Whether what is told next stands for the whole list, however it was told: nothing else was asked for.
+    pub fn whole(&self) -> bool {
+        self.whole
+    }
+
     /// Where lists are asked for: calls now.
     pub fn ask(&mut self, now: Instant) {
         self.call_alone(now);
@@ -213,7 +235,8 @@
             return Verdict::Older;
         }
         self.spoke(serial, now);
-        (self.anew, self.failures, self.waits) = (false, 0, waits());
+        (self.anew, self.whole) = (false, false);
+        (self.failures, self.waits) = (0, waits());
         self.revision = revision;
         Verdict::Take
     }
@@ -268,7 +291,8 @@
         self.due = None;
         let Some(address) = self.addresses.get(self.at).copied() else { return };
         self.serial += 1;
-        let (serial, index) = (self.serial, if self.anew { 0 } else { self.revision });
+        let (serial, index) =
+            (self.serial, if self.anew || self.whole { 0 } else { self.revision });
         let most = if self.mode == Mode::Asked { MOST_ASKED } else { MOST_OPEN };
         if self.open.len() >= most {
             self.steps.push(Step::Drop(self.open.remove(0)));
--- a/src/discovery/management.rs
+++ b/src/discovery/management.rs
@@ -27,6 +27,7 @@
 use serde_json::json;
 use tokio::net::TcpListener;
 
+use super::filter::Filter;
 use super::member::{Member, Phase};
 use super::server::ListService;
 use crate::calls::{self, Call, LIMIT, Reply, error, say};
@@ -99,7 +100,7 @@
             };
         }
         if path == "/admin/members" && call.method == Method::GET {
-            let line = self.host.read(|m| m.list().whole().line());
+            let line = self.host.read(|m| m.list().whole(&Filter::all()).line());
             return calls::text(StatusCode::OK, "application/json", line);
         }
         let reads = ["/admin/health", "/admin/stats", "/admin/leases", "/metrics"];
@@ -161,6 +162,10 @@
         let (revision, members) = self.host.read(|m| (m.list().revision(), m.list().len()));
         text.gauge("list_revision", "Revision of the list here", &[], revision);
         text.gauge("list_members", "Members in the list", &[], members as u64);
+        let looked = self.host.read(|m| m.list().looked());
+        text.counter("list_looked", "Entries looked at to tell lists and changes", &[], looked);
+        let made = self.service.made();
+        text.counter("list_lines", "Lines made for watches; shared ones once", &[], made);
         text.gauge("list_watches", "Watches open here", &[], self.service.watches());
         text.gauge("replica_term", "Term of the consensus", &[], term);
         text.gauge(
--- a/src/discovery/member.rs
+++ b/src/discovery/member.rs
@@ -100,10 +100,8 @@
         if self.host_port.parse::<std::net::SocketAddr>().is_err() {
             return Some(("host_port", "an address and port"));
         }
-        if self.service.len() > LONGEST_SERVICE
-            || self.service.contains(|c: char| c == ',' || c.is_control())
-        {
-            return Some(("service", "at most 256 bytes, no comma, no control character"));
+        if let Some(cause) = service_fault(&self.service) {
+            return Some(("service", cause));
         }
         let sound = self.size.is_finite() && self.size > 0.0 && self.up_since_ms >= 0.0;
         (!sound).then_some(("size", "above 0, and up_since_ms not below"))
@@ -115,6 +113,13 @@
 /// The longest name of a service, in bytes.
 pub const LONGEST_SERVICE: usize = 256;
 
+/// Why a service can't have this name, if it can't.
+pub fn service_fault(name: &str) -> Option<&'static str> {
+    let sound =
+        name.len() <= LONGEST_SERVICE && !name.contains(|c: char| c == ',' || c.is_control());
+    (!sound).then_some("at most 256 bytes, no comma, no control character")
+}
+
 /// One object of the list: the whole list (`complete`) or the entries changed since the one before.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Message {
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! The list service: a [`store::Store`] keeps members by id and a bounded history of changes under one monotonic
 //! revision; it is part of the replicated state ([`crate::replica`]) of its instances. [`server`] serves it as
-//! `GET /api/targets` and its watch `?stream=1&index=N`, [`management`] takes the calls of members, operators and
+//! `GET /api/targets` and its watch `?stream=1&index=N`, of all members or of some services' ([`filter`]), [`management`] takes the calls of members, operators and
 //! the other instances.
 //!
 //! Its clients: [`follow`] decides where and when to call and what to believe (pure), [`client`] makes the calls,
@@ -11,6 +11,7 @@
 
 pub mod client;
 pub mod config;
+pub mod filter;
 pub mod follow;
 pub mod keeper;
 pub mod kept;
--- a/src/discovery/server.rs
+++ b/src/discovery/server.rs
@@ -2,6 +2,11 @@
 //! `GET /api/targets?stream=1&index=N` is a watch, a chunked answer with one JSON object a line and an
 //! empty line every heartbeat while nothing changes. `GET /-/ready` answers 200 with the revision.
 //!
+//! `service=NAME`, repeatable and percent-encoded, narrows either to the members of these services ([`Filter`]).
+//! The revision stays that of the whole list. A watch is told nothing of other services' changes; once they have moved
+//! the revision on, its next heartbeat is `{"revision":N,"complete":false,"members":[]}`, so that it goes on from
+//! there at another instance. Asked from index 0, a watch of some services is told their whole list first.
+//!
 //! Runs on a current-thread runtime inside a `LocalSet`: it reads the replicated state where it is, and each
 //! change is announced on a `watch` channel of revisions that every watch follows. Every instance serves, the
 //! leader and its followers alike: their state only ever moves forward, so no watch sees a revision go back.
@@ -20,11 +25,14 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use rustc_hash::FxHashMap;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until};
 
+use super::filter::Filter;
 use super::member::Message;
-use super::store::Since;
+use super::store::{Since, Store};
 use crate::calls::{self, LIMIT};
 use crate::replica::host::Host;
 
@@ -52,32 +60,84 @@
 pub struct ListService {
     host: Rc<Host>,
     heartbeat: Duration,
-    /// The last line made, and from which revision: watches that are level get the same bytes.
-    last: RefCell<(u64, u64, Bytes)>,
+    /// What watches of one filter share, as long as one of them is open.
+    filters: RefCell<FxHashMap<Filter, Rc<Shared>>>,
     watches: Cell<u64>,
+    made: Cell<u64>,
+}
+
+/// What watches of one filter share.
+#[derive(Debug)]
+struct Shared {
+    filter: Filter,
+    /// The list's revision when it was last looked at, and the last up to it in which something of the filter changed.
+    level: Cell<(u64, u64)>,
+    /// The last line made: watches that are level get the same bytes.
+    line: RefCell<Option<Line>>,
+}
+
+/// One line of a watch, and what it is good for.
+#[derive(Clone, Debug)]
+struct Line {
+    /// From which change on; `None` for a whole list.
+    from: Option<u64>,
+    /// Up to which.
+    to: u64,
+    /// The revision that it tells.
+    revision: u64,
+    bytes: Bytes,
+}
+
+impl Shared {
+    fn new(filter: Filter) -> Rc<Self> {
+        Rc::new(Self { filter, level: Cell::default(), line: RefCell::default() })
+    }
+
+    /// The last revision in which something of the filter changed.
+    fn last_change(&self, list: &Store) -> u64 {
+        if self.level.get().0 != list.revision() {
+            self.level.set((list.revision(), list.last_change(list.revision(), &self.filter)));
+        }
+        self.level.get().1
+    }
 }
 
 /// One more watch, while it lives.
-struct Watching(Rc<ListService>);
+struct Watching {
+    service: Rc<ListService>,
+    shared: Rc<Shared>,
+}
 
 impl Watching {
-    fn new(service: Rc<ListService>) -> Self {
+    fn new(service: Rc<ListService>, filter: Filter) -> Self {
         service.watches.set(service.watches.get() + 1);
-        Self(service)
+        let mut filters = service.filters.borrow_mut();
+        let shared = filters.entry(filter).or_insert_with_key(|f| Shared::new(f.clone())).clone();
+        drop(filters);
+        Self { service, shared }
     }
 }
 
 impl Drop for Watching {
     fn drop(&mut self) {
-        self.0.watches.set(self.0.watches.get() - 1);
+        self.service.watches.set(self.service.watches.get() - 1);
+        // The service's own, and this one.
+        if Rc::strong_count(&self.shared) == 2 {
+            self.service.filters.borrow_mut().remove(&self.shared.filter);
+        }
     }
 }
 
 impl ListService {
     /// A service over this state; `heartbeat` is the gap between empty lines on a quiet watch.
     pub fn new(host: Rc<Host>, heartbeat: Duration) -> Rc<Self> {
-        let (last, watches) = (RefCell::default(), Cell::new(0));
-        Rc::new(Self { host, heartbeat, last, watches })
+        let (filters, watches, made) = Default::default();
+        Rc::new(Self { host, heartbeat, filters, watches, made })
+    }
+
+    /// Lines made for watches so far; those that several share count once.
+    pub fn made(&self) -> u64 {
+        self.made.get()
     }
 
     /// How many watches are open.
@@ -125,57 +185,79 @@
         }
         match Query::parse(head.uri.query().unwrap_or("")) {
             Err(cause) => Ok(error(StatusCode::BAD_REQUEST, cause)),
-            Ok(Query { stream: false, .. }) => {
-                let line = self.host.read(|m| m.list().whole().line());
+            Ok(Query { stream: false, filter, .. }) => {
+                let line = self.host.read(|m| m.list().whole(&filter).line());
                 Ok(calls::text(StatusCode::OK, "application/json", line).map(Either::Left))
             }
-            Ok(Query { stream: true, index }) => Ok(self.watch(index)),
+            Ok(Query { stream: true, index, filter }) => Ok(self.watch(index, filter)),
         }
     }
 
-    /// What a watch that holds revision `from` is told now, and the revision it has then.
-    fn line(&self, from: u64) -> Option<(u64, Bytes)> {
-        let mut last = self.last.borrow_mut();
-        let revision = self.host.read(|m| m.list().revision());
-        if from < revision && (last.0, last.1) != (from, revision) {
-            let line = |message: Message| Bytes::from(message.line());
-            let made = self.host.read(|m| match m.list().since(from) {
-                Since::Current | Since::Ahead => None,
-                Since::Changes(message) | Since::Whole(message) => Some(line(message)),
-            });
-            *last = (from, revision, made?);
-        }
-        (from < revision).then(|| (revision, last.2.clone()))
+    /// What a watch that holds revision `held` is told now, and the revision it has then; `None` where nothing of
+    /// its filter has changed. One that holds none is told the whole list.
+    fn line(&self, shared: &Shared, held: Option<u64>) -> Option<Line> {
+        self.host.read(|m| {
+            let (list, filter) = (m.list(), &shared.filter);
+            let now = list.revision();
+            let to = shared.last_change(list);
+            if held.is_some_and(|held| held >= to) {
+                return None;
+            }
+            // Between two changes of the filter it does not matter which revision is held.
+            let covered = held.filter(|held| *held >= list.oldest());
+            let from = covered.map(|held| list.last_change(held, filter));
+            let mut last = shared.line.borrow_mut();
+            // Who asks for a whole list may hold one as new as the list is here.
+            let serves = |line: &&Line| {
+                (line.from, line.to) == (from, to) && (from.is_some() || line.revision == now)
+            };
+            if let Some(line) = last.as_ref().filter(serves) {
+                return Some(line.clone());
+            }
+            let message = match covered.map(|held| list.since(held, filter)) {
+                None => list.whole(filter),
+                Some(Since::Changes(message) | Since::Whole(message)) => message,
+                Some(Since::Current | Since::Ahead) => return None,
+            };
+            self.made.set(self.made.get() + 1);
+            let (revision, bytes) = (message.revision, Bytes::from(message.line()));
+            *last = Some(Line { from, to, revision, bytes });
+            last.clone()
+        })
     }
 
-    fn watch(self: Rc<Self>, index: u64) -> Answer {
+    fn watch(self: Rc<Self>, index: u64, filter: Filter) -> Answer {
         let (lines, body) = mpsc::channel(QUEUED_LINES);
         let mut revisions = self.host.revisions();
-        let watching = Watching::new(self);
+        // What was told of other services than these now is of no use.
+        let anew = index == 0 && filter != Filter::all();
+        let watching = Watching::new(self, filter);
         tokio::task::spawn_local(async move {
-            let service = &watching.0;
-            let mut told = index;
+            let Watching { service, shared } = &watching;
+            // What it was told, and up to where there is nothing more to tell.
+            let (mut told, mut held) = (index, (!anew).then_some(index));
+            let mut due = Instant::now() + service.heartbeat;
             loop {
                 revisions.mark_unchanged();
-                if let Some((revision, line)) = service.line(told) {
-                    told = revision;
-                    if lines.send(line).await.is_err() {
-                        return;
-                    }
-                    continue;
-                }
-                tokio::select! {
-                    changed = revisions.changed() => {
-                        if changed.is_err() {
-                            return;
+                let mut line = service.line(shared, held).map(|line| (line.revision, line.bytes));
+                if line.is_none() {
+                    held = held.max(Some(service.host.read(|m| m.list().revision())));
+                    tokio::select! {
+                        changed = revisions.changed() => {
+                            if changed.is_err() {
+                                return;
+                            }
                         }
+                        () = sleep_until(due) => line = Some(sign_of_life(told, held)),
+                        () = lines.closed() => return,
                     }
-                    () = tokio::time::sleep(service.heartbeat) => {
-                        if lines.send(Bytes::from_static(b"\n")).await.is_err() {
-                            return;
-                        }
+                }
+                if let Some((revision, line)) = line {
+                    (told, held) = (revision, held.max(Some(revision)));
+                    if lines.send(line).await.is_err() {
+                        return;
                     }
-                    () = lines.closed() => return,
+                    due = Instant::now() + service.heartbeat;
                 }
             }
         });
@@ -185,22 +267,36 @@
     }
 }
 
+/// A quiet watch's sign of life, and the revision it has then: an empty line, unless other services' changes have
+/// moved the revision on.
+fn sign_of_life(told: u64, held: Option<u64>) -> (u64, Bytes) {
+    match held {
+        Some(held) if held > told => {
+            let message = Message { revision: held, ..Message::default() };
+            (held, Bytes::from(message.line()))
+        }
+        _ => (told, Bytes::from_static(b"\n")),
+    }
+}
+
 /// The query of `/api/targets`.
 #[derive(Debug, PartialEq)]
 struct Query {
     stream: bool,
     index: u64,
+    filter: Filter,
 }
 
 impl Query {
     fn parse(query: &str) -> Result<Self, &'static str> {
-        let mut parsed = Self { stream: false, index: 0 };
+        let mut parsed = Self { stream: false, index: 0, filter: Filter::all() };
         for pair in query.split('&').filter(|p| !p.is_empty()) {
             match pair.split_once('=').unwrap_or((pair, "")) {
                 ("stream", "1" | "true") => parsed.stream = true,
                 ("stream", "0" | "false") => parsed.stream = false,
                 ("stream", _) => return Err("stream is 1 or 0"),
                 ("index", n) => parsed.index = n.parse().map_err(|_| "index is a revision")?,
+                ("service", name) => parsed.filter.add(name)?,
                 _ => {}
             }
         }
--- a/src/discovery/server/tests.rs
+++ b/src/discovery/server/tests.rs
@@ -1,9 +1,176 @@
-use super::Query;
+use std::future::Future;
+
+use tokio::task::LocalSet;
+use tokio::time::timeout;
+
+use super::*;
+use crate::discovery::member::{Member, Phase};
+use crate::replica::command::Command;
+use crate::replica::host::Setup;
+use crate::store::Recovery;
+
+const HEARTBEAT: Duration = Duration::from_secs(2);
+
+fn member(id: &str, service: &str) -> Member {
+    let entry = serde_json::json!(
+        {"id": id, "host_port": "127.0.0.1:9", "phase": "SERVING", "service": service});
+    serde_json::from_value(entry).expect("a member")
+}
+
+/// Runs a test on paused time and one thread, with a service of this first list.
+fn paused<F: Future<Output = ()>>(
+    members: Vec<Member>,
+    history: usize,
+    test: impl FnOnce(Rc<ListService>) -> F,
+) {
+    let mut runtime = tokio::runtime::Builder::new_current_thread();
+    let runtime = runtime.enable_time().start_paused(true).build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let host = Host::start(Setup {
+            id: 1,
+            peers: vec![],
+            state_dir: None,
+            recovery: Recovery::Strict,
+            max_log_bytes: None,
+            snapshot_bytes: 1 << 20,
+            election: Duration::from_millis(500),
+            history,
+            seed: (40, members),
+        });
+        let service = ListService::new(host.expect("starts"), HEARTBEAT);
+        timeout(Duration::from_secs(600), test(service)).await.expect("it ends");
+    });
+}
+
+async fn change(service: &ListService, id: &str, of: &str) {
+    let command = Command::Register { member: member(id, of), ttl_ms: None, fence: None };
+    service.host.decide(command).await.expect("decided");
+}
+
+fn watch(service: &Rc<ListService>, index: u64, names: &[&str]) -> Lines {
+    let filter = Filter::services(names.iter().copied());
+    match service.clone().watch(index, filter).into_body() {
+        Either::Right(lines) => lines,
+        Either::Left(_) => panic!("no watch"),
+    }
+}
+
+/// The next line of a watch: revision, whether complete, and ids with their phases; `None` for an empty line.
+async fn told(watch: &mut Lines) -> Option<(u64, bool, Vec<(String, Phase)>)> {
+    let line = watch.0.recv().await.expect("a line");
+    let message = (line.as_ref() != b"\n").then(|| Message::read(&line).expect("a list"))?;
+    let members = message.members.into_iter().map(|m| (m.id, m.phase)).collect();
+    Some((message.revision, message.complete, members))
+}
+
+fn of(entries: &[(&str, Phase)]) -> Vec<(String, Phase)> {
+    entries.iter().map(|(id, phase)| ((*id).to_owned(), *phase)).collect()
+}
+
+#[test]
+fn a_watch_of_some_services_hears_of_these_alone_and_its_revision_follows() {
+    let first = vec![member("a-1", "a"), member("b-1", "b")];
+    paused(first, 64, |service| async move {
+        let serving = Phase::Serving;
+        let mut a = watch(&service, 0, &["a"]);
+        assert_eq!(told(&mut a).await, Some((42, true, of(&[("a-1", serving)]))));
+        assert_eq!(told(&mut a).await, None, "nothing has changed");
+        // However often others change, its heartbeats come, and tell how far the list is.
+        let start = Instant::now();
+        for i in 0..9 {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            change(&service, &format!("c-{i}"), "b").await;
+        }
+        assert_eq!(told(&mut a).await, Some((48, false, vec![])), "as it was after 2 s");
+        assert!(start.elapsed() < Duration::from_secs(3), "{:?}", start.elapsed());
+        change(&service, "b-1", "a").await;
+        let moved = told(&mut a).await;
+        assert_eq!(moved, Some((52, false, of(&[("b-1", serving)]))), "all of b's before it too");
+        change(&service, "b-1", "b").await;
+        assert_eq!(told(&mut a).await, Some((53, false, of(&[("b-1", Phase::Deleted)]))));
+        assert_eq!(told(&mut a).await, None);
+        // Gone on from there, there is nothing to tell; from before, what it missed of its own.
+        assert_eq!(told(&mut watch(&service, 53, &["a"])).await, None);
+        let missed = told(&mut watch(&service, 51, &["a"])).await;
+        assert_eq!(missed, Some((53, false, of(&[("b-1", Phase::Deleted)]))));
+        // Ahead of the list, until the list has caught up.
+        let mut ahead = watch(&service, 54, &["a"]);
+        change(&service, "a-2", "a").await;
+        assert_eq!(told(&mut ahead).await, None);
+        change(&service, "a-3", "a").await;
+        assert_eq!(told(&mut ahead).await, Some((55, false, of(&[("a-3", serving)]))));
+    });
+}
+
+#[test]
+fn a_watch_of_a_service_that_is_not_there_holds_an_empty_list() {
+    paused(vec![], 64, |service| async move {
+        let mut none = watch(&service, 0, &["a"]);
+        assert_eq!(told(&mut none).await, Some((40, true, vec![])));
+        change(&service, "a-1", "a").await;
+        assert_eq!(told(&mut none).await, Some((41, false, of(&[("a-1", Phase::Serving)]))));
+    });
+}
+
+#[test]
+fn others_changes_compacted_away_cost_an_open_watch_nothing() {
+    paused(vec![member("a-1", "a")], 4, |service| async move {
+        let mut a = watch(&service, 0, &["a"]);
+        assert!(told(&mut a).await.is_some());
+        for i in 0..20 {
+            change(&service, &format!("b-{i}"), "b").await;
+        }
+        let made = service.made();
+        change(&service, "a-2", "a").await;
+        assert_eq!(told(&mut a).await, Some((62, false, of(&[("a-2", Phase::Serving)]))));
+        assert_eq!(service.made(), made + 1, "and nothing was made for it before");
+        let late = told(&mut watch(&service, 45, &["a"])).await;
+        let all = of(&[("a-1", Phase::Serving), ("a-2", Phase::Serving)]);
+        assert_eq!(late, Some((62, true, all)), "it may have missed some of its own");
+    });
+}
+
+#[test]
+fn watches_of_one_filter_share_a_line_and_leave_nothing_behind() {
+    let first = (0..10).map(|s| member(&format!("{s}-1"), &format!("s-{s}"))).collect();
+    paused(first, 1024, |service| async move {
+        let names = |i: usize| if i.is_multiple_of(2) { ["s-0", "s-1"] } else { ["s-1", "s-2"] };
+        let mut watches: Vec<Lines> = (0..100).map(|i| watch(&service, 0, &names(i))).collect();
+        for watch in &mut watches {
+            assert!(told(watch).await.is_some_and(|(_, whole, all)| whole && all.len() == 2));
+        }
+        assert_eq!(service.made(), 2, "two filters, whatever the watches");
+        assert_eq!((service.filters.borrow().len(), service.watches()), (2, 100));
+        // Others that hold different revisions, none of which is one of theirs.
+        change(&service, "9-2", "s-9").await;
+        let held = |i: usize| 50 + (i as u64 / 2) % 2;
+        watches.extend((0..100).map(|i| watch(&service, held(i), &names(i))));
+        change(&service, "1-2", "s-1").await;
+        let news = (52, false, of(&[("1-2", Phase::Serving)]));
+        for watch in &mut watches {
+            assert_eq!(told(watch).await.as_ref(), Some(&news));
+        }
+        assert_eq!(service.made(), 4, "one line more for each filter");
+        drop(watches);
+        while service.watches() > 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        assert_eq!(service.filters.borrow().len(), 0);
+    });
+}
 
 #[test]
 fn a_query_is_read_or_refused() {
-    assert_eq!(Query::parse("stream=1&index=41"), Ok(Query { stream: true, index: 41 }));
-    assert_eq!(Query::parse(""), Ok(Query { stream: false, index: 0 }));
+    let all = Filter::all;
+    assert_eq!(
+        Query::parse("stream=1&index=41"),
+        Ok(Query { stream: true, index: 41, filter: all() })
+    );
+    assert_eq!(Query::parse(""), Ok(Query { stream: false, index: 0, filter: all() }));
+    let filter = Filter::services(["a b", "c,d"]);
+    let query = "service=a%20b&stream=1&index=41&service=c%2Cd&service=a%20b";
+    assert_eq!(Query::parse(query), Ok(Query { stream: true, index: 41, filter }));
+    assert!(Query::parse("service=%ff").is_err());
     assert!(Query::parse("stream=1&index=-1").is_err());
     assert!(Query::parse("stream=yes").is_err());
 }
--- a/src/discovery/store.rs
+++ b/src/discovery/store.rs
@@ -3,22 +3,47 @@
 //! Pure: no I/O, no clock. Every change that alters the list bumps the revision by one and is kept in the
 //! history; the oldest changes are dropped (compaction) once more than `keep` are held. A watch that asks
 //! from a revision that is no longer covered gets the whole list.
+//!
+//! Members and changes are filed by service too, so that what is told of some services costs what these have, however
+//! large the rest of the list is.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::cell::Cell;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
+use super::filter::Filter;
 use super::kept::MemberV1;
 use super::member::{Member, Message, Phase};
 
 /// The list and its history.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug)]
 pub struct Store {
     revision: u64,
     members: BTreeMap<String, Member>,
     /// Oldest first, one a revision.
     history: VecDeque<Change>,
     keep: usize,
+    /// What of it concerns each service.
+    services: BTreeMap<String, Part>,
+    looked: Cell<u64>,
+}
+
+/// One service's part of the list.
+#[derive(Clone, Debug, Default)]
+struct Part {
+    /// Its members' ids.
+    members: BTreeSet<String>,
+    /// The revisions in the history whose entry was its own, or left it.
+    changes: VecDeque<u64>,
+}
+
+/// What is filed, and what was looked at, follow from the rest.
+impl PartialEq for Store {
+    fn eq(&self, other: &Self) -> bool {
+        let of = |s: &Self| (s.revision, s.keep);
+        of(self) == of(other) && self.members == other.members && self.history == other.history
+    }
 }
 
 /// One change of the list.
@@ -32,6 +57,13 @@
     left: Option<String>,
 }
 
+impl Change {
+    /// The services that it concerns.
+    fn services(&self) -> impl Iterator<Item = &String> {
+        std::iter::once(&self.member.service).chain(&self.left)
+    }
+}
+
 /// A list without services as it is kept in a snapshot of the state ([`super::kept`]).
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct StoreV1 {
@@ -72,6 +104,8 @@
             members: BTreeMap::new(),
             history: VecDeque::new(),
             keep: keep.max(1),
+            services: BTreeMap::new(),
+            looked: Cell::default(),
         }
     }
 
@@ -110,28 +144,91 @@
             Phase::Deleted => self.members.remove(&member.id),
             _ => self.members.insert(member.id.clone(), member.clone()),
         };
+        if let Some(part) = before.as_ref().and_then(|b| self.services.get_mut(&b.service)) {
+            part.members.remove(&member.id);
+        }
+        if member.phase != Phase::Deleted {
+            self.part(&member.service).members.insert(member.id.clone());
+        }
         self.revision += 1;
         let left = before.map(|b| b.service).filter(|service| *service != member.service);
-        self.history.push_back(Change { revision: self.revision, member, left });
+        self.record(Change { revision: self.revision, member, left });
         while self.history.len() > self.keep {
-            self.history.pop_front();
+            self.forget();
         }
         Some(self.revision)
     }
 
-    /// The whole list, `complete`.
-    pub fn whole(&self) -> Message {
-        let members = self.members.values().cloned().collect();
+    fn part(&mut self, service: &str) -> &mut Part {
+        self.services.entry(service.to_owned()).or_default()
+    }
+
+    /// Puts a change at the end of the history.
+    fn record(&mut self, change: Change) {
+        for service in change.services() {
+            self.part(service).changes.push_back(change.revision);
+        }
+        self.history.push_back(change);
+    }
+
+    /// Takes the oldest change out of the history.
+    fn forget(&mut self) {
+        let Some(change) = self.history.pop_front() else { return };
+        for service in change.services() {
+            let Some(part) = self.services.get_mut(service) else { continue };
+            part.changes.pop_front();
+            if part.members.is_empty() && part.changes.is_empty() {
+                self.services.remove(service);
+            }
+        }
+    }
+
+    /// Entries looked at so far to tell lists and changes.
+    pub fn looked(&self) -> u64 {
+        self.looked.get()
+    }
+
+    fn look(&self, entries: usize) {
+        self.looked.set(self.looked.get() + entries as u64);
+    }
+
+    /// The parts of the services that a filter names.
+    fn parts(&self, names: &BTreeSet<String>) -> impl Iterator<Item = &Part> {
+        names.iter().filter_map(|name| self.services.get(name))
+    }
+
+    /// The whole list as the filter takes it, `complete`.
+    pub fn whole(&self, filter: &Filter) -> Message {
+        let members: Vec<Member> = match filter.names() {
+            None => self.members.values().cloned().collect(),
+            Some(names) => {
+                let ids = self.parts(names).flat_map(|part| &part.members);
+                ids.filter_map(|id| self.members.get(id)).cloned().collect()
+            }
+        };
+        self.look(members.len());
         Message { revision: self.revision, complete: true, members }
     }
 
+    /// The last revision up to `index` in which an entry that the filter takes was changed or left it; where the
+    /// history covers none, the oldest that it does.
+    pub fn last_change(&self, index: u64, filter: &Filter) -> u64 {
+        let index = index.min(self.revision);
+        let Some(names) = filter.names() else { return index };
+        let last = |part: &Part| {
+            let after = part.changes.partition_point(|revision| *revision <= index);
+            part.changes.get(after.checked_sub(1)?).copied()
+        };
+        self.parts(names).filter_map(last).max().unwrap_or(self.oldest().min(index))
+    }
+
     /// The entry of this id.
     pub fn member(&self, id: &str) -> Option<&Member> {
         self.members.get(id)
     }
 
-    /// What a watch that holds `index` is told first.
-    pub fn since(&self, index: u64) -> Since {
+    /// What a watch that holds `index` is told first. Of other services' changes a filter takes the revision alone.
+    pub fn since(&self, index: u64, filter: &Filter) -> Since {
         if index == self.revision {
             return Since::Current;
         }
@@ -139,15 +236,33 @@
             return Since::Ahead;
         }
         if index < self.oldest() {
-            return Since::Whole(self.whole());
+            return Since::Whole(self.whole(filter));
         }
-        let mut changed: BTreeMap<&str, &Member> = BTreeMap::new();
         // One entry a revision: what comes after `index` is the end of the history.
-        let known = (index - self.oldest()) as usize;
-        for Change { member, .. } in self.history.iter().skip(known) {
-            changed.insert(&member.id, member);
-        }
-        let members = changed.into_values().cloned().collect();
+        let at = |revision: u64| (revision - self.oldest()) as usize;
+        let mut changes: Vec<&Change> = match filter.names() {
+            None => self.history.range(at(index)..).collect(),
+            Some(names) => {
+                let after = |part: &Part| {
+                    let after = part.changes.partition_point(|revision| *revision <= index);
+                    part.changes.range(after..).copied().collect::<Vec<_>>()
+                };
+                let revisions = self.parts(names).flat_map(after);
+                revisions.map(|revision| &self.history[at(revision) - 1]).collect()
+            }
+        };
+        self.look(changes.len());
+        changes.sort_unstable_by_key(|change| change.revision);
+        let changed: BTreeMap<&str, &Change> =
+            changes.into_iter().map(|change| (change.member.id.as_str(), change)).collect();
+        let told = |change: &Change| match &change.left {
+            // To those who are not told of the service that it went to, it has gone.
+            Some(left) if !filter.takes(&change.member.service) => {
+                Member { phase: Phase::Deleted, service: left.clone(), ..change.member.clone() }
+            }
+            _ => change.member.clone(),
+        };
+        let members = changed.into_values().map(told).collect();
         Since::Changes(Message { revision: self.revision, complete: false, members })
     }
 
@@ -191,9 +306,13 @@
 
 impl From<StoreV2> for Store {
     fn from(kept: StoreV2) -> Self {
-        let StoreV2 { revision, members, history, keep } = kept;
-        let members = members.into_iter().map(|m| (m.id.clone(), m)).collect();
-        Self { revision, members, history: history.into(), keep }
+        let mut store = Self::new(kept.revision, kept.keep);
+        for member in kept.members {
+            store.part(&member.service).members.insert(member.id.clone());
+            store.members.insert(member.id.clone(), member);
+        }
+        kept.history.into_iter().for_each(|change| store.record(change));
+        store
     }
 }
 
--- a/src/discovery/store/tests.rs
+++ b/src/discovery/store/tests.rs
@@ -1,3 +1,5 @@
+use proptest::prelude::*;
+
 use super::*;
 
 fn member(id: &str, phase: Phase) -> Member {
@@ -21,8 +23,8 @@
     assert_eq!(store.apply(member("a", Phase::Serving)), None);
     assert_eq!(store.apply(member("b", Phase::Deleted)), None);
     assert_eq!(store.apply(member("a", Phase::Draining)), Some(42));
-    assert_eq!(store.since(42), Since::Current);
-    let Since::Changes(told) = store.since(40) else { panic!("changes") };
+    assert_eq!(store.since(42, &Filter::all()), Since::Current);
+    let Since::Changes(told) = store.since(40, &Filter::all()) else { panic!("changes") };
     assert_eq!((told.revision, told.members.len()), (42, 1), "each id once, its last entry");
     assert_eq!(told.members[0].phase, Phase::Draining);
 }
@@ -34,11 +36,180 @@
         store.apply(member(id, Phase::Serving));
     }
     assert_eq!(store.oldest(), 1);
-    assert!(matches!(store.since(1), Since::Changes(m) if m.members.len() == 2));
-    assert!(matches!(store.since(0), Since::Whole(m) if m.complete && m.members.len() == 3));
-    assert_eq!(store.since(9), Since::Ahead, "never told an older list than it holds");
+    assert!(matches!(store.since(1, &Filter::all()), Since::Changes(m) if m.members.len() == 2));
+    assert!(
+        matches!(store.since(0, &Filter::all()), Since::Whole(m) if m.complete && m.members.len() == 3)
+    );
+    assert_eq!(
+        store.since(9, &Filter::all()),
+        Since::Ahead,
+        "never told an older list than it holds"
+    );
     store.apply(member("a", Phase::Deleted));
-    let Since::Changes(told) = store.since(3) else { panic!("changes") };
+    let Since::Changes(told) = store.since(3, &Filter::all()) else { panic!("changes") };
     assert_eq!(told.members[0].phase, Phase::Deleted, "a deletion is told as such");
-    assert_eq!(store.whole().members.len(), 2);
+    assert_eq!(store.whole(&Filter::all()).members.len(), 2);
+}
+
+/// The members that a filter takes, by id.
+fn taken<'a>(
+    members: impl IntoIterator<Item = &'a Member>,
+    filter: &Filter,
+) -> BTreeMap<String, Member> {
+    let members = members.into_iter().filter(|m| filter.takes(&m.service));
+    members.map(|m| (m.id.clone(), m.clone())).collect()
+}
+
+const SERVICES: [&str; 4] = ["", "a", "b", "c"];
+
+/// Sets of services, one of which the list never has.
+fn filters() -> Vec<Filter> {
+    let sets: [&[&str]; 8] =
+        [&[], &[""], &["a"], &["b"], &["a", "b"], &["", "c"], &["a", "b", "c", ""], &["none"]];
+    let services = sets.iter().map(|names| Filter::services(names.iter().copied()));
+    std::iter::once(Filter::all()).chain(services).collect()
+}
+
+#[derive(Clone, Debug)]
+enum Op {
+    /// Puts this member into this service, or takes it out.
+    Apply { id: u8, service: usize, phase: Phase },
+    /// This follower reads on.
+    Read(usize),
+    /// Started anew from what is kept.
+    Restart,
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let phase = prop_oneof![Just(Phase::Serving), Just(Phase::Draining), Just(Phase::Deleted)];
+    prop_oneof![
+        6 => (0..6u8, 0..SERVICES.len(), phase)
+            .prop_map(|(id, service, phase)| Op::Apply { id, service, phase }),
+        3 => any::<usize>().prop_map(Op::Read),
+        1 => Just(Op::Restart),
+    ]
+}
+
+/// What a follower of `filter` holds after it has read on from `index`.
+fn read_on(store: &Store, held: &mut Message, filter: &Filter) -> Result<(), TestCaseError> {
+    let message = match store.since(held.revision, filter) {
+        Since::Current => return Ok(()),
+        Since::Ahead => return Err(TestCaseError::fail("the list went back")),
+        Since::Changes(message) | Since::Whole(message) => message,
+    };
+    prop_assert!(message.revision > held.revision, "a revision went back");
+    let mut ids = BTreeSet::new();
+    for m in &message.members {
+        prop_assert!(ids.insert(&m.id), "{} is told twice", m.id);
+        prop_assert!(filter.takes(&m.service), "{} of another service is told", m.id);
+    }
+    held.update(&message);
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(1500))]
+
+    #[test]
+    fn who_follows_some_services_holds_the_filter_of_the_whole_list(
+        ops in proptest::collection::vec(op(), 1..60), keep in 1..14usize, start in 0..3u64,
+    ) {
+        let mut store = Store::new(start, keep);
+        let mut followers: Vec<(Filter, Message)> =
+            filters().into_iter().map(|f| (f.clone(), store.whole(&f))).collect();
+        // The whole list at each revision.
+        let mut lists = BTreeMap::from([(start, store.whole(&Filter::all()))]);
+        for op in ops {
+            match op {
+                Op::Apply { id, service, phase } => {
+                    let service = SERVICES[service].to_owned();
+                    let entry = Member { service, ..member(&id.to_string(), phase) };
+                    store.apply(entry);
+                    lists.insert(store.revision(), store.whole(&Filter::all()));
+                }
+                Op::Read(i) => {
+                    let i = i % followers.len();
+                    let (filter, held) = &mut followers[i];
+                    read_on(&store, held, filter)?;
+                    let all = &lists[&store.revision()].members;
+                    prop_assert_eq!(taken(&held.members, &Filter::all()), taken(all, filter));
+                }
+                Op::Restart => {
+                    let kept = Store::from(store.v2());
+                    prop_assert_eq!(&kept, &store);
+                    store = kept;
+                }
+            }
+        }
+        let now = &lists[&store.revision()];
+        for filter in filters() {
+            let last = store.last_change(store.revision(), &filter);
+            prop_assert_eq!(taken(&store.whole(&filter).members, &Filter::all()), taken(&now.members, &filter));
+            // From whichever revision one goes on.
+            for (index, list) in &lists {
+                let mut held = list.clone();
+                held.members.retain(|m| filter.takes(&m.service));
+                read_on(&store, &mut held, &filter)?;
+                prop_assert_eq!(taken(&held.members, &Filter::all()), taken(&now.members, &filter));
+                prop_assert_eq!(held.revision, store.revision());
+                if *index >= store.oldest() {
+                    let quiet = match store.since(*index, &filter) {
+                        Since::Changes(message) => message.members.is_empty(),
+                        _ => true,
+                    };
+                    prop_assert_eq!(quiet, *index >= last, "from {}, changed at {}", index, last);
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn who_leaves_a_service_is_gone_for_its_watchers_and_new_for_those_of_the_other() {
+    let of = |service: &str| Member { service: service.into(), ..member("x", Phase::Serving) };
+    let mut store = Store::new(0, 8);
+    store.apply(of("a"));
+    store.apply(of("b"));
+    let told = |names: &[&str]| match store.since(1, &Filter::services(names.iter().copied())) {
+        Since::Changes(message) => {
+            message.members.into_iter().map(|m| (m.phase, m.service)).collect::<Vec<_>>()
+        }
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(told(&["a"]), [(Phase::Deleted, "a".to_owned())]);
+    assert_eq!(told(&["b"]), [(Phase::Serving, "b".to_owned())]);
+    assert_eq!(told(&["a", "b"]), [(Phase::Serving, "b".to_owned())]);
+    assert_eq!(told(&["c"]), [], "and nothing to anybody else");
+}
+
+/// Entries looked at to tell one service's whole list, and three changes of it among those of all others.
+fn looked_for_one_of(services: usize) -> (u64, u64) {
+    let mut store = Store::new(0, 100_000);
+    let entry = |service: usize, i: usize, phase| Member {
+        service: format!("s-{service}"),
+        ..member(&format!("{service}-{i}"), phase)
+    };
+    for service in 0..services {
+        for i in 0..29 {
+            store.apply(entry(service, i, Phase::Serving));
+        }
+    }
+    let (one, index) = (Filter::services(["s-1"]), store.revision());
+    for i in 0..3 {
+        for service in 0..services {
+            store.apply(entry(service, i, Phase::Draining));
+        }
+    }
+    let before = store.looked();
+    assert_eq!(store.whole(&one).members.len(), 29);
+    let whole = store.looked() - before;
+    let Since::Changes(told) = store.since(index, &one) else { panic!("changes") };
+    assert_eq!(told.members.len(), 3);
+    (whole, store.looked() - before - whole)
+}
+
+#[test]
+fn one_service_costs_the_same_beside_ten_and_beside_two_hundred_and_ten() {
+    assert_eq!(looked_for_one_of(10), (29, 3));
+    assert_eq!(looked_for_one_of(210), (29, 3));
 }
--- a/src/roles/mod.rs
+++ b/src/roles/mod.rs
@@ -173,7 +173,7 @@
             phase: Phase::Serving,
             size: 1.0,
             up_since_ms: unix.as_millis() as f64,
-            service: String::new(),
+            service: args.service,
         };
         let serving = crate::stand_in::serve(listener, manner);
         let Ok(instances) = Instances::new(args.services) else {
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -393,9 +393,15 @@
 
 impl Watch {
     pub fn open(at: SocketAddr, index: u64) -> Self {
+        Self::open_with(at, index, "")
+    }
+
+    /// The same with more in its query.
+    pub fn open_with(at: SocketAddr, index: u64, query: &str) -> Self {
         let mut stream = TcpStream::connect(at).expect("it accepts");
         stream.set_read_timeout(Some(Duration::from_millis(50))).expect("a timeout");
-        let head = format!("GET /api/targets?stream=1&index={index} HTTP/1.1\r\nHost: a\r\n\r\n");
+        let target = format!("/api/targets?stream=1&index={index}{query}");
+        let head = format!("GET {target} HTTP/1.1\r\nHost: a\r\n\r\n");
         stream.write_all(head.as_bytes()).expect("sent");
         Self { stream, seen: Vec::new() }
     }
--- a/tests/list_client.rs
+++ b/tests/list_client.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use hollowpaddle::discovery::client::{self, News, Order};
+use hollowpaddle::discovery::filter::Filter;
 use hollowpaddle::discovery::follow::{Follow, Mode};
 use hollowpaddle::discovery::member::{Message, Phase};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, duplex};
@@ -57,6 +58,8 @@
     Restart(u64),
     /// The client is told that discovery has moved.
     Move,
+    /// The client is told to follow these services.
+    Follow(&'static [&'static str]),
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -81,6 +84,8 @@
     layout: Layout,
     /// When each call came, and from which index.
     calls: RefCell<Vec<(Instant, u64)>>,
+    /// What each call asked for.
+    targets: RefCell<Vec<String>>,
 }
 
 impl Agent {
@@ -95,12 +100,17 @@
             door: Cell::new(Door::Open),
             layout,
             calls: RefCell::default(),
+            targets: RefCell::default(),
         })
     }
 
-    fn news(&self, revision: u64, whole: bool) -> String {
+    fn news(&self, revision: u64, whole: bool, service: &str) -> String {
         let phase = if revision > 41 { "DRAINING" } else { "SERVING" };
-        let entry = serde_json::json!({"id": "s-1", "host_port": "10.0.0.1:80", "phase": phase});
+        let mut entry =
+            serde_json::json!({"id": "s-1", "host_port": "10.0.0.1:80", "phase": phase});
+        if !service.is_empty() {
+            entry["service"] = service.into();
+        }
         let list = serde_json::json!({"revision": revision, "complete": whole, "members": [entry]});
         if self.layout == Layout::Line {
             return format!("{list}\n");
@@ -130,6 +140,10 @@
         let index = head.split(['=', ' ', '&']).nth(4).and_then(|n| n.parse().ok());
         let index = index.unwrap_or_else(|| panic!("no index in {head:?}"));
         self.calls.borrow_mut().push((Instant::now(), index));
+        let target = head.split(' ').nth(1).expect("a target").to_owned();
+        // The member is of the last service that is asked for.
+        let service = target.rsplit_once("service=").map_or(String::new(), |s| s.1.to_owned());
+        self.targets.borrow_mut().push(target);
         let (mut silenced, mut reset) = (self.silenced.subscribe(), self.reset.subscribe());
         let (mut up, mut said) = (self.up.subscribe(), self.said.subscribe());
         let mut revisions = self.revision.subscribe();
@@ -147,7 +161,7 @@
         loop {
             let now = *revisions.borrow_and_update();
             if *up.borrow_and_update() && now > told {
-                self.write(&mut stream, &self.news(now, told == 0)).await?;
+                self.write(&mut stream, &self.news(now, told == 0, &service)).await?;
                 told = now;
             }
             tokio::select! {
@@ -208,6 +222,9 @@
             Do::Say(text) => self.said.send_modify(|said| *said = (said.0 + 1, text)),
             Do::Restart(revision) => drop(self.revision.send_replace(revision)),
             Do::Move => drop(orders.send(Order::Moved(vec![address(2)]))),
+            Do::Follow(names) => {
+                drop(orders.send(Order::Filter(Filter::services(names.iter().copied()))));
+            }
         }
     }
 }
@@ -262,7 +279,8 @@
         }
     };
     let connecting = agent.clone();
-    let client = spawn_local(client::run(follow, move |to| connecting.connect(to), ordered, tell));
+    let connect = move |to| connecting.connect(to);
+    let client = spawn_local(client::run(follow, Filter::all(), connect, ordered, tell));
     if mode == Mode::Asked {
         let _ = orders.send(Order::Ask);
     }
@@ -531,3 +549,73 @@
         assert!((30..=160).contains(&calls), "{calls} calls in 60 s");
     });
 }
+
+#[test]
+fn a_client_that_follows_other_services_is_told_their_whole_list_and_nothing_older() {
+    let follow = |names| Do::Follow(names);
+    for (mode, layout) in
+        [(PUSHED, Layout::Line), (Mode::Asked, Layout::Line), (PUSHED, Layout::Cut)]
+    {
+        paused(async {
+            let agent = Agent::new(layout);
+            let script = [
+                (5000, follow(&["shop"])),
+                (6000, follow(&["shop"])),
+                (7000, Do::Change),
+                (8000, follow(&["a b", "shop"])),
+                // One that is behind by now: left aside until it has caught up.
+                (9000, Do::Restart(40)),
+                (9000, follow(&["mail"])),
+                (12_000, Do::Restart(43)),
+            ];
+            let heard = play(&agent, mode, 1, &script, Duration::from_secs(20)).await;
+            let told: Vec<_> = heard.told.iter().map(|(_, m)| (m.revision, m.complete)).collect();
+            // The same revision is told again where the services are others.
+            assert_eq!(told, [(41, true), (42, false), (42, true), (43, true)], "{mode:?}");
+            let service = |m: &Message| m.members.iter().map(|m| m.service.clone()).collect();
+            let services: Vec<Vec<String>> = heard.told.iter().map(|(_, m)| service(m)).collect();
+            assert_eq!(services, [["shop"], ["shop"], ["shop"], ["mail"]]);
+            let targets = agent.targets.borrow();
+            assert_eq!(targets[0], "/api/targets?stream=1&index=41", "as it always was");
+            assert_eq!(targets[1], "/api/targets?stream=1&index=0&service=shop");
+            assert_eq!(targets[2], "/api/targets?stream=1&index=0&service=a%20b&service=shop");
+            let mail = "/api/targets?stream=1&index=0&service=mail";
+            assert!(targets.len() > 4 && targets[3..].iter().all(|t| t == mail), "{targets:?}");
+        });
+    }
+}
+
+#[test]
+fn a_list_that_knows_no_services_is_narrowed_and_one_of_all_stands_for_the_whole() {
+    paused(async {
+        let agent = Agent::new(Layout::Line);
+        // Its answers have no service, whatever was asked for.
+        let changes = "{\"revision\":42,\"members\":[{\"id\":\"s-1\",\"phase\":\"SERVING\"},\
+                       {\"id\":\"s-2\",\"phase\":\"SERVING\",\"service\":\"shop\"}]}\n";
+        let script = [(4000, Do::Follow(&["shop"])), (5000, Do::Say(changes))];
+        let heard = play(&agent, PUSHED, 1, &script, Duration::from_secs(6)).await;
+        let told: Vec<_> = heard.told[1].1.members.iter().map(|m| (&*m.id, m.phase)).collect();
+        assert_eq!(told, [("s-1", Phase::Deleted), ("s-2", Phase::Serving)]);
+    });
+    paused(async {
+        let agent = Agent::new(Layout::Line);
+        let (orders, ordered) = mpsc::unbounded_channel();
+        let (tell, mut told) = mpsc::unbounded_channel();
+        // All changes there were, told to one that holds a list of other services.
+        let changes = "{\"revision\":41,\"members\":[{\"id\":\"s-1\",\"phase\":\"DELETED\"},\
+                       {\"id\":\"s-2\",\"phase\":\"SERVING\"}]}\n";
+        agent.revision.send_replace(0);
+        let follow = Follow::new(vec![address(1)], PUSHED, 41, Instant::now()).asking_whole();
+        let connecting = agent.clone();
+        let connect = move |to| connecting.connect(to);
+        let tell = move |news| drop(tell.send(news));
+        let client = spawn_local(client::run(follow, Filter::all(), connect, ordered, tell));
+        sleep(Duration::from_millis(100)).await;
+        agent.act(Do::Say(changes), &orders);
+        let Some(News::Told(list)) = told.recv().await else { panic!("told") };
+        let ids: Vec<&str> = list.members.iter().map(|m| &*m.id).collect();
+        assert_eq!((list.revision, list.complete, ids), (41, true, vec!["s-2"]));
+        assert_eq!(agent.calls.borrow()[0].1, 0);
+        client.abort();
+    });
+}
--- a/tests/list_service.rs
+++ b/tests/list_service.rs
@@ -6,12 +6,13 @@
 use std::collections::BTreeSet;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::process::Command;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use harness::{ASK, Cluster, Fleet, Watch, ask, free, get, look, member, post, until};
+use harness::{ASK, Cluster, Fleet, PROGRAM, Watch, ask, free, get, look, member, post, until};
 use serde_json::{Value, json};
 
 const SOON: Duration = Duration::from_secs(5);
@@ -297,3 +298,125 @@
     thread::sleep(Duration::from_millis(500));
     assert_eq!(get(fleet.address(proxy), "/api/stock", &ASK), Some((200, "s-2\n".into())));
 }
+
+/// A member of this service, in the body of a registration.
+fn of(id: &str, service: &str) -> String {
+    let member =
+        json!({"id": id, "host_port": free().to_string(), "phase": "SERVING", "service": service});
+    json!({ "member": member }).to_string()
+}
+
+#[test]
+fn a_watch_of_one_service_goes_on_through_a_leaders_death_and_hears_of_no_other() {
+    let mut fleet = Fleet::default();
+    let cluster = Cluster::start(&mut fleet, 3, "heartbeat_ms = 200");
+    let writer = cluster.leader(None);
+    let stop = Arc::new(AtomicBool::new(false));
+    let (lists, told_to_stop) = (cluster.lists.clone(), stop.clone());
+    // It begins at the leader and takes the next instance when its watch ends, from the revision that it holds.
+    let watching = thread::spawn(move || {
+        let query = "&service=caf%C3%A9%201";
+        let (mut at, mut held, mut all, mut revisions) = (writer, 0, BTreeSet::new(), Vec::new());
+        let (mut quiet, mut strangers) = (0, Vec::new());
+        let mut watch = Watch::open_with(lists[at], held, query);
+        while !told_to_stop.load(Ordering::Relaxed) {
+            match watch.next(Duration::from_millis(100)) {
+                Some(message) => {
+                    held = revision(&message);
+                    revisions.push(held);
+                    if message["complete"] == true {
+                        all.clear();
+                    }
+                    let members = message["members"].as_array().expect("members");
+                    quiet += usize::from(members.is_empty() && message["complete"] == false);
+                    for m in members {
+                        let id = m["id"].as_str().expect("an id").to_owned();
+                        if m["service"] != "café 1" {
+                            strangers.push(id.clone());
+                        }
+                        match m["phase"] == "DELETED" {
+                            true => drop(all.remove(&id)),
+                            false => drop(all.insert(id)),
+                        }
+                    }
+                }
+                None if TcpStream::connect(lists[at]).is_err() => {
+                    at = (at + 1) % lists.len();
+                    watch = Watch::open_with(lists[at], held, query);
+                }
+                None => {}
+            }
+        }
+        (all, revisions, quiet, strangers)
+    });
+    let mut expected = BTreeSet::new();
+    for i in 0..120 {
+        if i == 60 {
+            fleet.kill(cluster.at[writer]);
+        }
+        // One of the service for two of others; some of it leave, and one of another comes.
+        let (id, service) = (format!("m-{i}"), ["café 1", "mail", ""][i % 3]);
+        assert_eq!(cluster.write("/admin/members", &of(&id, service)).0, 200, "{id}");
+        if service == "café 1" {
+            expected.insert(id);
+        }
+        if i % 12 == 5 {
+            let (gone, come) = (format!("m-{}", i - 5), format!("m-{}", i - 1));
+            assert_eq!(cluster.write("/admin/members", &of(&gone, "mail")).0, 200);
+            assert_eq!(cluster.write("/admin/members", &of(&come, "café 1")).0, 200);
+            expected.remove(&gone);
+            expected.insert(come);
+        }
+    }
+    let next = cluster.leader(Some(writer));
+    let (status, answer) = cluster.write("/admin/members", &of("last", "mail"));
+    assert_eq!(status, 200, "{answer}");
+    let last = look(cluster.calls[next], "/admin/stats")["revision"].as_u64().expect("a revision");
+    until("the survivors agree", SOON, || {
+        (0..3)
+            .filter(|i| *i != writer)
+            .all(|i| look(cluster.lists[i], "/-/ready")["revision"] == last)
+    });
+    thread::sleep(Duration::from_millis(1000));
+    stop.store(true, Ordering::Relaxed);
+    let (all, revisions, quiet, strangers) = watching.join().expect("the watcher");
+    assert_eq!(strangers, Vec::<String>::new(), "of other services");
+    assert_eq!(all, expected);
+    assert!(revisions.windows(2).all(|w| w[0] < w[1]), "a revision came again or went back");
+    assert_eq!(revisions.last(), Some(&last), "it follows others' changes too");
+    assert!(quiet > 0, "by a heartbeat");
+    // Asked once, it is the same list.
+    let one = look(cluster.lists[next], "/api/targets?service=caf%C3%A9%201");
+    assert_eq!(ids(&one).into_iter().collect::<BTreeSet<_>>(), expected);
+    assert_eq!((&one["complete"], revision(&one)), (&json!(true), last));
+    let two = look(cluster.lists[next], "/api/targets?service=mail&service=caf%C3%A9%201");
+    assert_eq!(ids(&two).len(), ids(&look(cluster.lists[next], "/api/targets")).len() - 40);
+}
+
+#[test]
+fn a_member_names_its_service_in_the_file_and_on_the_command_line_or_is_refused_by_that_key() {
+    let mut fleet = Fleet::default();
+    let seed = "[[members]]\nid = \"m-1\"\nhost_port = \"127.0.0.1:9\"\nphase = \"SERVING\"\nservice = \"mail\"";
+    let cluster = Cluster::start(&mut fleet, 1, seed);
+    let services = cluster.services();
+    let args = ["stand-in", "--name", "s-1", "--services", &services, "--service", "shop"];
+    fleet.start("s-1", &args, &[]);
+    until("it is listed", SOON, || {
+        ids(&look(cluster.lists[0], "/api/targets?service=shop")) == ["s-1"]
+    });
+    assert_eq!(ids(&look(cluster.lists[0], "/api/targets?service=mail")), ["m-1"]);
+    let (status, answer) = cluster.write("/admin/members", &of("a", "a,b"));
+    assert_eq!((status, answer.to_string().contains("member.service")), (400, true), "{answer}");
+    assert_eq!(get(cluster.lists[0], "/api/targets?service=%ff", &[]).map(|a| a.0), Some(400));
+    let check = |args: &[&str]| {
+        let output = Command::new(PROGRAM).args(args).output().expect("it runs");
+        (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
+    };
+    let file = format!("listen = \"127.0.0.1:0\"\n{}", seed.replace("mail", "a,b"));
+    let file = fleet.file("bad.toml", &file);
+    let path = file.to_str().expect("a path");
+    let (code, error) = check(&["check", "--role", "discovery", "--config", path]);
+    assert_eq!((code, error.contains("members[0].service")), (Some(2), true), "{error}");
+    let (code, error) = check(&["stand-in", "--service", "a,b"]);
+    assert_eq!((code, error.contains("--service")), (Some(2), true), "{error}");
+}
--- a/tests/schedules.rs
+++ b/tests/schedules.rs
@@ -9,6 +9,7 @@
 use std::convert::Infallible;
 use std::time::Duration;
 
+use hollowpaddle::discovery::filter::Filter;
 use hollowpaddle::discovery::member::{Member, Phase};
 use hollowpaddle::lease::holder::{Holder, Step};
 use hollowpaddle::lease::table::{LeaseCommand, Token};
@@ -366,7 +367,8 @@
     for pair in lists.windows(2) {
         let [a, b] = [pair[0].machine(), pair[1].machine()];
         if a.list().revision() == b.list().revision() {
-            assert_eq!(a.list().whole(), b.list().whole(), "one revision, two lists");
+            let all = Filter::all();
+            assert_eq!(a.list().whole(&all), b.list().whole(&all), "one revision, two lists");
         }
     }
     world.grants
