List service: the first service waits until every instance has said that it knows any

Need: an instance of the version before passes over an entry that it can't read, and goes on under other revisions. Change: the answer to a peer's messages says which forms are read; as long as no service is in the list or its history, the leader answers a write that has one 503, naming the instances that have not said so (a first list waits, the log says why). Once one is in, nobody is waited for. An old leader drops the key service of a registration: upgrade all instances first.

Test: with an instance that was not heard from, and with one that answers as the version before; other writes go on; later services need no one's word.

--- a/src/discovery/management.rs
+++ b/src/discovery/management.rs
@@ -17,7 +17,8 @@
 //!
 //! 200 is yes, once a majority has it on disk. 400 bad body, 404 no such call or member, 405, 413; 409 another
 //! holds the duty, or the token is stale; 421 another instance leads: `{"leader":"HOST:PORT"}` where it is known;
-//! 503 nobody knows yet; 507 the disk has no room.
+//! 503 nobody knows yet, or the first service of all and an instance that has not said that it knows any; 507 the
+//! disk has no room.
 
 use std::rc::Rc;
 
@@ -34,7 +35,7 @@
 use crate::figures::Text;
 use crate::lease::table::{LeaseCommand, TTL_MS, Token};
 use crate::replica::command::{Command, Fence, Outcome};
-use crate::replica::host::{Host, PEER_BYTES, WriteError};
+use crate::replica::host::{FORMS, Host, PEER_BYTES, WriteError};
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -95,7 +96,7 @@
         let path = call.path.as_str();
         if path == "/peer/messages" && call.method == Method::POST {
             return match self.host.take(&call.body) {
-                Ok(()) => say(StatusCode::OK, &json!({})),
+                Ok(()) => calls::text(StatusCode::OK, "application/json", FORMS.into()),
                 Err(cause) => error(StatusCode::BAD_REQUEST, cause),
             };
         }
@@ -296,7 +297,9 @@
         }
         WriteError::NotLeader(None) => StatusCode::MISDIRECTED_REQUEST,
         WriteError::Disk(_) => StatusCode::INSUFFICIENT_STORAGE,
-        WriteError::Busy | WriteError::Unknown => StatusCode::SERVICE_UNAVAILABLE,
+        WriteError::Busy | WriteError::Unknown | WriteError::Mixed(_) => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
     };
     error(status, why)
 }
--- a/src/discovery/store.rs
+++ b/src/discovery/store.rs
@@ -163,6 +163,11 @@
         self.services.entry(service.to_owned()).or_default()
     }
 
+    /// Whether a member, or a change in the history, is in a service.
+    pub fn in_services(&self) -> bool {
+        self.services.keys().any(|name| !name.is_empty())
+    }
+
     /// Puts a change at the end of the history.
     fn record(&mut self, change: Change) {
         for service in change.services() {
--- a/src/replica/command.rs
+++ b/src/replica/command.rs
@@ -58,6 +58,17 @@
     Lease(LeaseCommand),
 }
 
+impl Command {
+    /// Whether it has an entry in a service.
+    pub fn in_service(&self) -> bool {
+        match self {
+            Self::Seed { members, .. } => members.iter().any(|m| !m.service.is_empty()),
+            Self::Register { member, .. } => !member.service.is_empty(),
+            _ => false,
+        }
+    }
+}
+
 /// A command as it is kept and sent: the place of a variant is its number, so new ones come last. A version that
 /// doesn't know a number refuses the entry ([`crate::discovery::kept`]).
 #[derive(Clone, Serialize, Deserialize)]
--- a/src/replica/host.rs
+++ b/src/replica/host.rs
@@ -2,7 +2,7 @@
 //! a current-thread runtime inside a `LocalSet`.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
@@ -34,6 +34,10 @@
 /// Bytes of log that only the consensus itself may use, so that an instance whose log is full still votes.
 const RESERVE: u64 = 8 << 10;
 
+/// What an instance answers to its peers' messages: the forms that it reads ([`crate::discovery::kept`]). Versions
+/// without services answer `{}`.
+pub const FORMS: &str = "{\"forms\":2}";
+
 /// How one instance is set up.
 #[derive(Debug)]
 pub struct Setup<'a> {
@@ -80,6 +84,10 @@
     /// Not done: too much waits.
     #[error("too much waits to be decided")]
     Busy,
+    /// Not done: these instances may be of a version that can't read what has a service in it, for none is in the
+    /// list yet, and they have not said that they can.
+    #[error("instances {0:?} have not said that they know services; all must, for the first one")]
+    Mixed(Vec<u64>),
     /// Not acknowledged: the disk has no room, or failed.
     #[error("{0}")]
     Disk(String),
@@ -105,6 +113,8 @@
     log: RefCell<Option<Log>>,
     waiting: RefCell<HashMap<ProposalId, oneshot::Sender<Outcome>>>,
     peers: HashMap<u64, (SocketAddr, mpsc::Sender<Bytes>)>,
+    /// Peers that have not said yet which forms they read.
+    unknown: RefCell<BTreeSet<u64>>,
     work: Notify,
     revisions: watch::Sender<u64>,
     start: Instant,
@@ -114,6 +124,8 @@
     seed: Command,
     /// The term in which this instance has last proposed it.
     seeded_in: Cell<u64>,
+    /// Whether the log says that it can't be proposed yet.
+    seed_waits: Cell<bool>,
     /// Why the disk takes nothing, while it does not.
     trouble: RefCell<Option<String>>,
     /// Counts since the start.
@@ -162,6 +174,7 @@
             replica: RefCell::new(replica),
             log: RefCell::new(log),
             waiting: RefCell::default(),
+            unknown: RefCell::new(peers.keys().copied().collect()),
             peers,
             work: Notify::new(),
             revisions: watch::Sender::new(0),
@@ -171,6 +184,7 @@
             no_snapshot_before: Cell::default(),
             seed: Command::Seed { revision, members },
             seeded_in: Cell::new(0),
+            seed_waits: Cell::new(false),
             trouble: RefCell::default(),
             counts: Counts::default(),
         });
@@ -259,19 +273,29 @@
                 waiting.clear();
             }
         }
-        // Once a term: where it is lost with its leader, the next one has it again.
-        if replica.leads()
-            && !replica.machine().seeded()
-            && self.seeded_in.replace(replica.term()) != replica.term()
-            && replica.propose(&self.seed).is_ok()
-        {
-            self.work.notify_one();
+        if replica.leads() && !replica.machine().seeded() {
+            self.propose_seed(&mut replica);
         }
         let revision = replica.machine().list().revision();
         self.revisions.send_if_modified(|r| std::mem::replace(r, revision) != revision);
         self.compact(&mut replica);
     }
 
+    /// Once a term: where it is lost with its leader, the next one has it again.
+    fn propose_seed(&self, replica: &mut Replica) {
+        if let Some(why) = self.mixed(&self.seed, replica) {
+            if !self.seed_waits.replace(true) {
+                tracing::warn!(%why, "the first list waits");
+            }
+            return;
+        }
+        if self.seeded_in.replace(replica.term()) != replica.term()
+            && replica.propose(&self.seed).is_ok()
+        {
+            self.work.notify_one();
+        }
+    }
+
     fn compact(&self, replica: &mut Replica) {
         let (mut log, now) = (self.log.borrow_mut(), self.now());
         let due =
@@ -284,6 +308,14 @@
         }
     }
 
+    /// Why a command must not be proposed yet: it has the first service in it, and some instance may not read it. What
+    /// the log holds already every instance has to read, so that one which is down then stands in nobody's way.
+    fn mixed(&self, command: &Command, replica: &Replica) -> Option<WriteError> {
+        let unknown = self.unknown.borrow();
+        let first = command.in_service() && !replica.machine().list().in_services();
+        (first && !unknown.is_empty()).then(|| WriteError::Mixed(unknown.iter().copied().collect()))
+    }
+
     /// Looks at the state as this instance has it.
     pub fn read<T>(&self, look: impl FnOnce(&Machine) -> T) -> T {
         look(self.replica.borrow().machine())
@@ -333,6 +365,10 @@
             let room = room.unwrap_or_default();
             return Err(WriteError::Disk(format!("the log is full: {room} bytes are left")));
         }
+        let mixed = self.mixed(&command, &self.replica.borrow());
+        if let Some(mixed) = mixed.filter(|_| self.replica.borrow().leads()) {
+            return Err(mixed);
+        }
         let proposed = self.replica.borrow_mut().propose(&command);
         let id = proposed.map_err(|why| self.refuse(why))?;
         let (told, outcome) = oneshot::channel();
@@ -429,7 +465,14 @@
                 let Some(open) = line.as_mut() else { return Ok(()) };
                 let said = open.ask(Method::POST, "/peer/messages", batch.freeze(), 4096).await;
                 match said.map_err(|e| e.to_string())? {
-                    (StatusCode::OK, _) => Ok(()),
+                    (StatusCode::OK, said) => {
+                        // Anew at each call: it may have been started as another version.
+                        match said.as_ref() == FORMS.as_bytes() {
+                            true => self.unknown.borrow_mut().remove(&id),
+                            false => self.unknown.borrow_mut().insert(id),
+                        };
+                        Ok(())
+                    }
                     (status, cause) => {
                         Err(format!("{address}: {status}: {}", String::from_utf8_lossy(&cause)))
                     }
--- a/tests/list_service.rs
+++ b/tests/list_service.rs
@@ -420,3 +420,55 @@
     let (code, error) = check(&["stand-in", "--service", "a,b"]);
     assert_eq!((code, error.contains("--service")), (Some(2), true), "{error}");
 }
+
+/// Takes calls as an instance of a version without services does, as far as its answers tell.
+fn old_instance(at: SocketAddr) {
+    let listener = std::net::TcpListener::bind(at).expect("the address is free");
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else { return };
+            thread::spawn(move || {
+                let (mut seen, mut buffer) = (Vec::new(), [0; 1 << 16]);
+                while let Ok(n @ 1..) = stream.read(&mut buffer) {
+                    seen.extend_from_slice(&buffer[..n]);
+                    let Some(end) = seen.windows(4).position(|w| w == b"\r\n\r\n") else {
+                        continue;
+                    };
+                    let head = String::from_utf8_lossy(&seen[..end]).to_lowercase();
+                    let length = head.split_once("content-length: ").map_or("0", |h| h.1);
+                    let length = length.lines().next().and_then(|l| l.parse::<usize>().ok());
+                    if seen.len() >= end + 4 + length.unwrap_or(0) {
+                        seen.clear();
+                        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+                    }
+                }
+            });
+        }
+    });
+}
+
+#[test]
+fn the_first_service_waits_until_every_instance_knows_services_and_no_later_one_does() {
+    let mut fleet = Fleet::default();
+    let cluster = Cluster::start(&mut fleet, 3, "");
+    // Nobody has heard from the third since it was started; then one is there that says nothing of services.
+    cluster.at.iter().for_each(|i| fleet.kill(*i));
+    cluster.at[..2].iter().for_each(|i| fleet.restart(*i));
+    let refused = |cluster: &Cluster| {
+        let leader = cluster.leader(None);
+        let (status, answer) =
+            post(cluster.calls[leader], "/admin/members", &of("a", "shop")).expect("an answer");
+        assert_eq!((status, answer.contains("instances [3]")), (503, true), "{answer}");
+    };
+    refused(&cluster);
+    cluster.register("without", free());
+    old_instance(cluster.calls[2]);
+    cluster.register("without too", free());
+    thread::sleep(Duration::from_millis(500));
+    refused(&cluster);
+    let new = Cluster::start(&mut fleet, 3, "");
+    assert_eq!(new.write("/admin/members", &of("a", "shop")).0, 200, "all have said so");
+    new.at.iter().for_each(|i| fleet.kill(*i));
+    new.at[..2].iter().for_each(|i| fleet.restart(*i));
+    assert_eq!(new.write("/admin/members", &of("b", "mail")).0, 200, "not the first");
+}
