--- a/src/discovery/management.rs
+++ b/src/discovery/management.rs
@@ -17,7 +17,8 @@
 //!
 //! 200 is yes, once a majority has it on disk. 400 bad body, 404 no such call or member, 405, 413; 409 another
 //! holds the duty, or the token is stale; 421 another instance leads: `{"leader":"HOST:PORT"}` where it is known;
-//! 503 nobody knows yet; 507 the disk has no room.
+//! 503 nobody knows yet, or the first service of all and an instance that has not said that it knows any; 507 the
+//! disk has no room.
 
 use std::rc::Rc;
 
@@ -27,13 +28,14 @@
 use serde_json::json;
 use tokio::net::TcpListener;
 
+use super::filter::Filter;
 use super::member::{Member, Phase};
 use super::server::ListService;
 use crate::calls::{self, Call, LIMIT, Reply, error, say};
 use crate::figures::Text;
 use crate::lease::table::{LeaseCommand, TTL_MS, Token};
 use crate::replica::command::{Command, Fence, Outcome};
-use crate::replica::host::{Host, PEER_BYTES, WriteError};
+use crate::replica::host::{FORMS, Host, PEER_BYTES, WriteError};
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -94,12 +96,12 @@
         let path = call.path.as_str();
         if path == "/peer/messages" && call.method == Method::POST {
             return match self.host.take(&call.body) {
-                Ok(()) => say(StatusCode::OK, &json!({})),
+                Ok(()) => calls::text(StatusCode::OK, "application/json", FORMS.into()),
                 Err(cause) => error(StatusCode::BAD_REQUEST, cause),
             };
         }
         if path == "/admin/members" && call.method == Method::GET {
-            let line = self.host.read(|m| m.list().whole().line());
+            let line = self.host.read(|m| m.list().whole(&Filter::all()).line());
             return calls::text(StatusCode::OK, "application/json", line);
         }
         let reads = ["/admin/health", "/admin/stats", "/admin/leases", "/metrics"];
@@ -161,6 +163,10 @@
         let (revision, members) = self.host.read(|m| (m.list().revision(), m.list().len()));
         text.gauge("list_revision", "Revision of the list here", &[], revision);
         text.gauge("list_members", "Members in the list", &[], members as u64);
+        let looked = self.host.read(|m| m.list().looked());
+        text.counter("list_looked", "Entries looked at to tell lists and changes", &[], looked);
+        let made = self.service.made();
+        text.counter("list_lines", "Lines made for watches; shared ones once", &[], made);
         text.gauge("list_watches", "Watches open here", &[], self.service.watches());
         text.gauge("replica_term", "Term of the consensus", &[], term);
         text.gauge(
@@ -291,7 +297,9 @@
         }
         WriteError::NotLeader(None) => StatusCode::MISDIRECTED_REQUEST,
         WriteError::Disk(_) => StatusCode::INSUFFICIENT_STORAGE,
-        WriteError::Busy | WriteError::Unknown => StatusCode::SERVICE_UNAVAILABLE,
+        WriteError::Busy | WriteError::Unknown | WriteError::Mixed(_) => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
     };
     error(status, why)
 }
--- a/src/discovery/member.rs
+++ b/src/discovery/member.rs
@@ -119,6 +119,13 @@
 /// The longest name of a service, in bytes.
 pub const LONGEST_SERVICE: usize = 256;
 
+/// Why a service can't have this name, if it can't.
+pub fn service_fault(name: &str) -> Option<&'static str> {
+    let sound =
+        name.len() <= LONGEST_SERVICE && !name.contains(|c: char| c == ',' || c.is_control());
+    (!sound).then_some("at most 256 bytes, no comma, no control character")
+}
+
 /// One object of the list: the whole list (`complete`) or the entries changed since the one before.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Message {
