Services behind routes in the proxy: each its own upstreams, classes and queue, and reloaded by SIGHUP

Change: `services` and `routes` in the proxy's file (checked whole, refused by key); a request goes by host and path prefix to its service's own balancer, one that no route matches gets 404 with the host and path; the list is asked for by these services alone. SIGHUP takes services and routes anew: what waits at a removed one is refused at once, what is out there ends in its time, a bad file leaves the old in force. A list kept from other services is narrowed, and asked for whole where one is missing. Figures tell services apart. Without `services` all is as before: one service that takes everything and never rests.

--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -9,7 +9,8 @@
 
 use bytes::Bytes;
 use hollowpaddle::interface::{Effect, Span};
-use hollowpaddle::settings::{Facts, key_hash};
+use hollowpaddle::services::{Service, ServiceId};
+use hollowpaddle::settings::key_hash;
 use hyper::body::{Body, Incoming};
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, COOKIE, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue,
@@ -24,7 +25,6 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::bodies::{AnswerBody, Broken, KEPT, LARGEST, Memory, Payload, Upload};
-use crate::config::Config;
 use crate::engine::{Arrival, Handle, Reply};
 use crate::lifecycle::{LINGER, Lifecycle};
 use crate::succession::Mark;
@@ -69,8 +69,6 @@
     engine: Handle,
     memory: Rc<Memory>,
     figures: Rc<Figures>,
-    facts: Facts,
-    effects: Vec<Effect>,
     most: usize,
     open: Cell<usize>,
     /// Told when the table is full: those that idle are looked at at once.
@@ -80,25 +78,13 @@
 
 impl Front {
     pub fn new(
-        config: &Config,
         engine: Handle,
         lifecycle: Rc<Lifecycle>,
         figures: Rc<Figures>,
         memory: Rc<Memory>,
         most: usize,
     ) -> Self {
-        let settings = config.facts.settings();
-        Self {
-            engine,
-            figures,
-            memory,
-            facts: config.facts.clone(),
-            effects: settings.classes.iter().map(|c| c.effect).collect(),
-            most,
-            open: Cell::new(0),
-            crowd: Notify::new(),
-            lifecycle,
-        }
+        Self { engine, figures, memory, most, open: Cell::new(0), crowd: Notify::new(), lifecycle }
     }
 
     /// Serves until `stop`, then finishes what was taken.
@@ -132,7 +118,9 @@
 
     /// How long after SIGTERM the last answer has to be out.
     fn time_to_end(&self) -> Duration {
-        let longest = self.facts.classes.iter().map(|s| s.deadline.max(0.0)).fold(0.0, f64::max);
+        let routing = self.engine.routing();
+        let classes = routing.catalog.services.iter().flat_map(|s| &s.facts.classes);
+        let longest = classes.map(|c| c.deadline.max(0.0)).fold(0.0, f64::max);
         let longest = Duration::try_from_secs_f64(longest / 1000.0).unwrap_or(Duration::MAX);
         longest.min(LONGEST_BEFORE_KILL) + KILL_AFTER - BEFORE_KILL
     }
@@ -240,14 +228,17 @@
         talk: &Rc<Talk>,
     ) -> Result<Answer, Infallible> {
         let turn = Rc::new(talk.turn());
+        let routing = self.engine.routing();
         let path = request.uri().path();
         let mut answer = if path == "/-/ready" {
             let ready = self.engine.ready() && self.lifecycle.address_served();
             bare(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
-        } else if path == "/api" || path.starts_with("/api/") {
-            self.api(request, &turn).await
-        } else {
+        } else if routing.catalog.is_single() && path != "/api" && !path.starts_with("/api/") {
             bare(StatusCode::NOT_FOUND)
+        } else if let Some(place) = routing.find(host(&request), path) {
+            self.serve_one(request, place, &turn).await
+        } else {
+            no_route(host(&request), path)
         };
         // Close to the limit, connections are given back so that waiting clients get their turn.
         if !self.lifecycle.serving() || self.open.get() + self.most / 8 >= self.most {
@@ -256,7 +247,13 @@
         Ok(answer.map(|body| body.holding(turn)))
     }
 
-    async fn api(&self, request: Request<Incoming>, turn: &Rc<Turn>) -> Answer {
+    /// One request of a service.
+    async fn serve_one(
+        &self,
+        request: Request<Incoming>,
+        (place, service): (ServiceId, &Service),
+        turn: &Rc<Turn>,
+    ) -> Answer {
         let (head, body) = request.into_parts();
         let id = head.headers.get("x-request-id").cloned();
         let length = body.size_hint().exact();
@@ -272,7 +269,7 @@
             Err(why) => return broken(why, &id),
         };
         // The request's time runs from its last byte; while more is to come, that is still ahead.
-        let arrival = match self.arrival(&head, &kept, Instant::now()) {
+        let arrival = match arrival(place, service, &head, &kept, Instant::now()) {
             Ok(arrival) => arrival,
             Err(what) => {
                 drain(upload, turn);
@@ -283,7 +280,7 @@
         let class = arrival.class;
         let taken = OnceCell::new();
         let take = || {
-            taken.get_or_init(|| self.figures.take(class));
+            taken.get_or_init(|| self.figures.take(&service.name, class));
         };
         if rest.is_none() {
             take();
@@ -327,46 +324,56 @@
         let Some(taken) = taken.into_inner() else { return answer };
         answer.map(|body| body.of(taken, end))
     }
+}
 
-    /// Reads what the module needs to know; the error names what is wrong.
-    fn arrival(
-        &self,
-        head: &hyper::http::request::Parts,
-        body: &Bytes,
-        arrived: Instant,
-    ) -> Result<Arrival, &'static str> {
-        let text = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
-        text("x-request-id").filter(|id| !id.is_empty()).ok_or("X-Request-Id")?;
-        let class = text("x-class").ok_or("X-Class")?;
-        let class = self.facts.classes.iter().position(|s| s.name == class).ok_or("X-Class")?;
-        let key = head.headers.get("idempotency-key");
-        let fits = match self.effects[class] {
-            Effect::Safe => head.method == Method::GET && body.is_empty(),
-            Effect::Keyed => head.method == Method::POST && key.is_some_and(|k| !k.is_empty()),
-            Effect::Unsafe => head.method == Method::POST && key.is_none(),
-        };
-        if !fits {
-            return Err("method");
-        }
-        let deadline = text("x-deadline-ms").and_then(|v| v.trim().parse::<u64>().ok());
-        let deadline = deadline.filter(|ms| (1..=LONGEST_DEADLINE_MS).contains(ms));
-        let deadline = Duration::from_millis(deadline.ok_or("X-Deadline-Ms")?);
-        let tenant = if self.facts.tenants.is_empty() {
-            0
-        } else {
-            let name = text("x-tenant").unwrap_or_default();
-            self.facts.tenants.iter().position(|t| t.name == name).ok_or("X-Tenant")?
-        };
-        let hint = text("x-cost-hint").and_then(|v| v.trim().parse::<f64>().ok());
-        Ok(Arrival {
-            class,
-            tenant,
-            key: cookie(&head.headers, "sid").map(key_hash),
-            until: arrived + deadline,
-            cost_guess: hint.filter(|us| us.is_finite() && *us > 0.0).map(|us| Span(us as i64)),
-            resent: text("x-retry").is_some_and(|v| v == "1"),
-        })
+/// Reads what the module needs to know of a request of this service; the error names what is wrong.
+fn arrival(
+    place: ServiceId,
+    service: &Service,
+    head: &hyper::http::request::Parts,
+    body: &Bytes,
+    arrived: Instant,
+) -> Result<Arrival, &'static str> {
+    let text = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
+    text("x-request-id").filter(|id| !id.is_empty()).ok_or("X-Request-Id")?;
+    let class = text("x-class").and_then(|name| service.class(name)).ok_or("X-Class")?;
+    let key = head.headers.get("idempotency-key");
+    let fits = match service.effects[class] {
+        Effect::Safe => head.method == Method::GET && body.is_empty(),
+        Effect::Keyed => head.method == Method::POST && key.is_some_and(|k| !k.is_empty()),
+        Effect::Unsafe => head.method == Method::POST && key.is_none(),
+    };
+    if !fits {
+        return Err("method");
     }
+    let deadline = text("x-deadline-ms").and_then(|v| v.trim().parse::<u64>().ok());
+    let deadline = deadline.filter(|ms| (1..=LONGEST_DEADLINE_MS).contains(ms));
+    let deadline = Duration::from_millis(deadline.ok_or("X-Deadline-Ms")?);
+    let tenant = service.tenant(text("x-tenant").unwrap_or_default()).ok_or("X-Tenant")?;
+    let hint = text("x-cost-hint").and_then(|v| v.trim().parse::<f64>().ok());
+    Ok(Arrival {
+        service: place,
+        class,
+        tenant,
+        key: cookie(&head.headers, "sid").map(key_hash),
+        until: arrived + deadline,
+        cost_guess: hint.filter(|us| us.is_finite() && *us > 0.0).map(|us| Span(us as i64)),
+        resent: text("x-retry").is_some_and(|v| v == "1"),
+    })
+}
+
+/// The host that a request is for: its target's, or else its `Host` (RFC 9112, 3.2.2); empty where it names none.
+fn host(request: &Request<Incoming>) -> &str {
+    let target = request.uri().authority().map(|a| a.as_str());
+    let named = || request.headers().get(HOST).and_then(|host| host.to_str().ok());
+    target.or_else(named).unwrap_or_default()
+}
+
+fn no_route(host: &str, path: &str) -> Answer {
+    let text = format!("no route: host {host:?}, path {path:?}\n");
+    let mut answer = Response::new(AnswerBody::whole(text.into()));
+    *answer.status_mut() = StatusCode::NOT_FOUND;
+    answer
 }
 
 /// Reads what is still to come of a body whose request is answered: its client may look for the answer only
--- a/src/bin/hollowpaddle/config.rs
+++ b/src/bin/hollowpaddle/config.rs
@@ -2,8 +2,11 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::rc::Rc;
 
 use hollowpaddle::discovery::member::Message as List;
+use hollowpaddle::routing::Route;
+use hollowpaddle::services::{Catalog, CatalogError, ServiceEntry};
 use hollowpaddle::settings::Facts;
 use serde::Deserialize;
 
@@ -26,6 +29,8 @@
     Malformed { path: String, field: String, cause: String },
     #[error("{name} is not an address: {value:?}")]
     BadAddress { name: &'static str, value: String },
+    #[error("{path}: {cause}")]
+    Services { path: String, cause: CatalogError },
     #[error("the limit of {0} sockets leaves no room to serve")]
     TooFewSockets(usize),
 }
@@ -50,6 +55,14 @@
     #[serde(default)]
     known: List,
     settings: Facts,
+    /// Where there are some, requests go to them by `routes`, and the list's members belong to them.
+    #[serde(default)]
+    services: Option<Vec<ServiceEntry>>,
+    #[serde(default)]
+    routes: Vec<Route>,
+    /// Where it was read from.
+    #[serde(skip)]
+    path: String,
 }
 
 #[derive(Deserialize, Default)]
@@ -66,10 +79,27 @@
     fn read_from(path: String) -> Result<Self, ConfigError> {
         let text = std::fs::read(&path).map_err(|e| ConfigError::Unreadable(path.clone(), e))?;
         let mut reader = serde_json::Deserializer::from_slice(&text);
-        serde_path_to_error::deserialize(&mut reader).map_err(|e| {
-            let field = e.path().to_string();
-            ConfigError::Malformed { path, field, cause: e.into_inner().to_string() }
-        })
+        match serde_path_to_error::deserialize::<_, Self>(&mut reader) {
+            Ok(file) => Ok(Self { path, ..file }),
+            Err(e) => {
+                let field = e.path().to_string();
+                Err(ConfigError::Malformed { path, field, cause: e.into_inner().to_string() })
+            }
+        }
+    }
+
+    fn catalog(&self) -> Result<Rc<Catalog>, ConfigError> {
+        let catalog = match &self.services {
+            Some(services) => Catalog::new(&self.settings, services, &self.routes),
+            None if self.routes.is_empty() => Catalog::single(&self.settings),
+            None => Err(CatalogError::Invalid {
+                key: "routes".into(),
+                cause: "lead nowhere without services".into(),
+            }),
+        };
+        catalog
+            .map(Rc::new)
+            .map_err(|cause| ConfigError::Services { path: self.path.clone(), cause })
     }
 }
 
@@ -97,6 +127,15 @@
     pub memory: usize,
     pub known: List,
     pub facts: Facts,
+    /// The services that there are at the start.
+    pub catalog: Rc<Catalog>,
+}
+
+/// What SIGHUP takes from the file.
+pub struct Anew {
+    pub discovery: Vec<SocketAddr>,
+    /// Only the services of a file that names some are read anew.
+    pub catalog: Option<Rc<Catalog>>,
 }
 
 /// How many connections each side may have.
@@ -119,6 +158,7 @@
         // The environment and the file say the same; the environment is the platform's first word.
         let say = |name: &str, file: String| std::env::var(name).unwrap_or(file);
         let address = |name: &'static str, file: String| address(name, say(name, file));
+        let catalog = file.catalog()?;
         let sockets = file.limits.sockets.unwrap_or(SOCKETS);
         if sockets < 2 * RESERVED {
             return Err(ConfigError::TooFewSockets(sockets));
@@ -141,13 +181,16 @@
             memory: (memory_mb * f64::from(1 << 20)) as usize,
             known: file.known,
             facts: file.settings,
+            catalog,
         })
     }
 
-    /// Where the file names discovery by now. The environment can't change after the start, so only the file
-    /// counts.
-    pub fn discovery_now() -> Result<Vec<SocketAddr>, ConfigError> {
-        addresses("discovery", File::read()?.discovery)
+    /// What the file says by now of discovery and services, checked whole. The environment can't change after the
+    /// start, so only the file counts.
+    pub fn anew() -> Result<Anew, ConfigError> {
+        let file = File::read()?;
+        let catalog = file.services.is_some().then(|| file.catalog()).transpose()?;
+        Ok(Anew { discovery: addresses("discovery", file.discovery)?, catalog })
     }
 
     /// Half the descriptors for each side. Every attempt belongs to a client's request, so while clients
--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -1,7 +1,7 @@
 //! Owns the decision module, the table of requests and the timers. Feeds the module every event in the
 //! order it came, and carries out its actions in the order it gave them. Decides nothing.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 use std::net::SocketAddr;
@@ -12,12 +12,15 @@
 use hollowpaddle::discovery::filter::Filter;
 use hollowpaddle::discovery::follow::{Follow, Mode};
 use hollowpaddle::discovery::keeper::Keeper;
-use hollowpaddle::discovery::member::{Member as Entry, Message as List, Phase};
+use hollowpaddle::discovery::member::Message as List;
 use hollowpaddle::figures::{self, Figures};
 use hollowpaddle::interface as d;
-use hollowpaddle::interface::{Action, Event, ListKind, Outcome, RequestId, ServerId, Span, Time};
-use hollowpaddle::policy::Balancer;
-use hollowpaddle::settings::stable_hash;
+use hollowpaddle::interface::{
+    Action, Event, ListKind, Outcome, RequestId, ServerId, Span, Status, Time,
+};
+use hollowpaddle::services::{
+    Catalog, Change, ReloadError, Routing, Service, ServiceId, Services, Told,
+};
 use hollowpaddle::tasks::{AbortOnDrop, settle};
 use hyper::Response;
 use rustc_hash::FxHashMap;
@@ -38,6 +41,23 @@
 /// A process that stood still for more than this part of the grace of a drain reads its news first.
 const STALL_OF_GRACE: u32 = 4;
 
+/// Where services may rest, a timer fires so often all the same: else nothing would tell that the process stood still.
+const AWAKE_EVERY: Duration = Duration::from_millis(100);
+
+/// What is asked of the list service: the members of the services that there are, or all.
+fn filter(catalog: &Catalog) -> Filter {
+    catalog.names().map_or_else(Filter::all, Filter::services)
+}
+
+/// The services with the names of their classes, for figures.
+pub fn named(catalog: &Catalog) -> impl Iterator<Item = (&str, impl Iterator<Item = &str>)> {
+    let named = |s| {
+        let Service { name, facts, .. }: &Service = s;
+        (name.as_str(), facts.classes.iter().map(|c| c.name.as_str()))
+    };
+    catalog.services.iter().map(named)
+}
+
 /// How much earlier than this the module has to be done with a request.
 fn headroom(until: Instant) -> Duration {
     HEADROOM.min(until.saturating_duration_since(Instant::now()) / HEADROOM_OF)
@@ -60,6 +80,8 @@
         ended: Ended,
     },
     DiscoveryMoved(Vec<SocketAddr>),
+    /// These services and routes are to be in force.
+    Reload(Option<Rc<Catalog>>),
     /// The process ends; by then all that was taken has to be answered.
     Ending(Instant),
     /// How many upstreams the list names, and how many of them the module avoids.
@@ -68,6 +90,7 @@
 
 /// A request as the module needs to know it.
 pub struct Arrival {
+    pub service: ServiceId,
     pub class: usize,
     pub tenant: usize,
     pub key: Option<u64>,
@@ -90,9 +113,21 @@
     notes: mpsc::UnboundedSender<Note>,
     next: Rc<Cell<u64>>,
     ready: Rc<Cell<bool>>,
+    routing: Rc<RefCell<Rc<Routing>>>,
 }
 
 impl Handle {
+    /// Which request is whose, as it is in force now.
+    pub fn routing(&self) -> Rc<Routing> {
+        self.routing.borrow().clone()
+    }
+
+    /// These services and routes are to be in force, if they can take the place of those that are; `None` for a
+    /// configuration that names no services.
+    pub fn reload(&self, catalog: Option<Rc<Catalog>>) {
+        let _ = self.notes.send(Note::Reload(catalog));
+    }
+
     /// Whether there is anywhere to send to.
     pub fn ready(&self) -> bool {
         self.ready.get()
@@ -165,6 +200,7 @@
 
 /// A request that is owed an answer, or has attempts out.
 struct Held {
+    service: ServiceId,
     forward: Rc<Forward>,
     /// Taken by the final answer.
     reply: Option<oneshot::Sender<Reply>>,
@@ -192,7 +228,9 @@
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
-    Token(u64),
+    Token(ServiceId, u64),
+    /// Nothing but a sign of life.
+    Awake,
     Deadline(RequestId),
 }
 
@@ -200,7 +238,7 @@
 type Later = (RequestId, usize, Ended);
 
 pub struct Engine {
-    balancer: Balancer,
+    services: Services,
     clock: Clock,
     notes: mpsc::UnboundedReceiver<Note>,
     /// Of the list; these come before all notes.
@@ -213,6 +251,7 @@
     pool: Rc<Pool>,
     upstreams: Upstreams,
     ready: Rc<Cell<bool>>,
+    routing: Rc<RefCell<Rc<Routing>>>,
     figures: Rc<Figures>,
     keeper: Option<Keeper>,
     /// Once the process ends: no answer may be later.
@@ -261,42 +300,59 @@
     ) -> Result<(Self, Handle), d::SettingsError> {
         let clock = Clock::new();
         let settings = config.facts.settings();
+        let services = Services::new(config.catalog.clone(), config.seed, clock.now())?;
         let (own_notes, notes) = mpsc::unbounded_channel();
         let ready = Rc::new(Cell::new(false));
-        let handle = Handle { notes: own_notes.clone(), next: Rc::default(), ready: ready.clone() };
+        let routing = Rc::new(RefCell::new(services.routing()));
+        let handle = Handle {
+            notes: own_notes.clone(),
+            next: Rc::default(),
+            ready: ready.clone(),
+            routing: routing.clone(),
+        };
         let second_copies = settings.limits.second_copies;
         let max_attempts = settings.limits.max_attempts;
         let kept = keeper.as_ref().map(Keeper::list).filter(|l| l.revision > config.known.revision);
+        let mut known = kept.unwrap_or(&config.known).clone();
+        let narrowed = config.catalog.narrow(&mut known);
         // What is kept from now on are changes to the list that is held.
-        if let (None, Some(keeper)) = (kept, &keeper) {
-            keeper.keep(config.known.clone());
+        if let (true, Some(keeper)) = (kept.is_none() || narrowed.changed, &keeper) {
+            keeper.keep(known.clone());
         }
-        let known = kept.unwrap_or(&config.known).clone();
         let grace = Duration::from_micros(settings.rules.drain_grace.0.max(0) as u64);
         let mode = if settings.must_ask { Mode::Asked } else { Mode::Pushed { grace } };
         let follow = Follow::new(config.discovery.clone(), mode, known.revision, Instant::now());
+        let follow = if narrowed.whole { follow } else { follow.asking_whole() };
         let (orders, ordered) = mpsc::unbounded_channel();
         let (tell, news) = mpsc::unbounded_channel();
         let tell = move |news| drop(tell.send(news));
-        let client = client::run(follow, Filter::all(), client::connect, ordered, tell);
+        let filter = filter(&services.routing().catalog);
+        let client = client::run(follow, filter, client::connect, ordered, tell);
+        let mut stall = grace / STALL_OF_GRACE;
+        let mut timers = BinaryHeap::new();
+        if !services.routing().catalog.is_single() {
+            stall = stall.saturating_sub(AWAKE_EVERY);
+            timers.push(Reverse((Instant::now() + AWAKE_EVERY, Due::Awake)));
+        }
         let mut engine = Self {
-            balancer: Balancer::new(settings, config.seed, clock.now())?,
+            services,
             clock,
             notes,
             news,
             own_notes,
             requests: FxHashMap::default(),
-            timers: BinaryHeap::new(),
+            timers,
             actions: Vec::new(),
             later: VecDeque::new(),
             pool,
-            upstreams: Upstreams::new(config),
+            upstreams: Upstreams::default(),
             ready,
+            routing,
             figures,
             keeper,
             ending: None,
             orders,
-            stall: grace / STALL_OF_GRACE,
+            stall,
             _client: AbortOnDrop(tokio::task::spawn_local(client)),
             second_copies,
             max_attempts,
@@ -348,7 +404,8 @@
             }
             self.timers.pop();
             match due {
-                Due::Token(token) => self.tell(Event::Timer(token)),
+                Due::Token(service, token) => self.tell(service, Event::Timer(token)),
+                Due::Awake => self.timers.push(Reverse((now + AWAKE_EVERY, Due::Awake))),
                 Due::Deadline(id) => self.overdue(id),
             }
         }
@@ -363,7 +420,8 @@
                 let Some(held) = self.requests.get_mut(&id) else { return };
                 if held.reply.take().is_some() {
                     held.live.set(false);
-                    self.tell(Event::Left(id));
+                    let service = held.service;
+                    self.tell(service, Event::Left(id));
                 }
                 self.forget(id);
             }
@@ -374,13 +432,14 @@
             }
             // At once: the old address soon ends its watch, and what is missed meanwhile counts as told.
             Note::DiscoveryMoved(addresses) => self.order(Order::Moved(addresses)),
+            Note::Reload(catalog) => self.reload(catalog),
             Note::Ending(by) => {
                 self.ending = Some(by);
                 let held = self.requests.keys().map(|id| Reverse((by, Due::Deadline(*id))));
                 self.timers.extend(held);
             }
             Note::Pool(reply) => {
-                let _ = reply.send(self.balancer.pool(self.clock.now()));
+                let _ = reply.send(self.services.pool(self.clock.now()));
             }
         }
     }
@@ -393,7 +452,49 @@
                     keeper.keep(list);
                 }
             }
-            News::Lost => self.tell(Event::Members { kind: ListKind::Unavailable, list: &[] }),
+            News::Lost => {
+                for service in self.services.ids() {
+                    self.tell(service, Event::Members { kind: ListKind::Unavailable, list: &[] });
+                }
+            }
+        }
+    }
+
+    /// Puts other services and routes in force, or leaves what is.
+    fn reload(&mut self, catalog: Option<Rc<Catalog>>) {
+        let single = self.services.routing().catalog.is_single();
+        let reloaded = match catalog {
+            // Its settings are read at the start alone.
+            None if single => return,
+            None => Err(ReloadError::Kind),
+            Some(catalog) => self.services.reload(catalog, self.clock.now()),
+        };
+        let reloaded = match reloaded {
+            Ok(reloaded) => reloaded,
+            Err(cause) => {
+                tracing::warn!(%cause, "the new services are left aside");
+                return;
+            }
+        };
+        let (added, removed) = (reloaded.added, reloaded.removed.len());
+        tracing::info!(added, removed, "other services and routes are in force");
+        for (name, classes) in named(&reloaded.routing.catalog) {
+            self.figures.serve(name, classes);
+        }
+        if added + removed > 0 {
+            self.order(Order::Filter(filter(&reloaded.routing.catalog)));
+        }
+        self.routing.replace(reloaded.routing);
+        self.changed(&reloaded.changes);
+        for service in reloaded.removed {
+            self.tell(service, Event::Members { kind: ListKind::Whole, list: &[] });
+            let waits = |h: &Held| h.service == service && h.reply.is_some() && h.out() == 0;
+            let held = self.requests.iter().filter(|(_, h)| waits(h));
+            let waiting: Vec<RequestId> = held.map(|(id, _)| *id).collect();
+            for id in waiting {
+                self.give_up(id);
+                self.forget(id);
+            }
         }
     }
 
@@ -415,7 +516,9 @@
         let until = latest - room;
         let whole = forward.body.rest.as_ref().is_none_or(|r| r.is_whole());
         let coming = (!whole).then(|| arrival.until.saturating_duration_since(Instant::now()));
+        let service = arrival.service;
         let held = Held {
+            service,
             forward: Rc::from(forward),
             reply: Some(reply),
             live: Rc::new(Cell::new(true)),
@@ -425,6 +528,12 @@
             last: None,
         };
         self.requests.insert(id, held);
+        self.services.opened(service);
+        if !self.services.serves(service) {
+            // It was routed a moment before its service was removed.
+            self.give_up(id);
+            return self.forget(id);
+        }
         let deadline = if coming.is_none() { Some(latest) } else { self.ending };
         if let Some(at) = deadline {
             self.timers.push(Reverse((at - room / BACKSTOP_OF, Due::Deadline(id))));
@@ -438,7 +547,7 @@
             coming: coming.is_some(),
             ..d::Request::new(id, arrival.class, self.clock.at(until))
         };
-        self.tell(Event::Request(request));
+        self.tell(service, Event::Request(request));
     }
 
     /// The last byte of its body has come: its time runs from here.
@@ -452,7 +561,8 @@
         held.forward.until.set(latest);
         held.attempts.iter_mut().filter(|a| a.task.is_some()).for_each(|a| a.sent = now);
         self.timers.push(Reverse((latest - room / BACKSTOP_OF, Due::Deadline(id))));
-        self.tell(Event::Whole(id));
+        let service = held.service;
+        self.tell(service, Event::Whole(id));
     }
 
     /// When a client that waits until then has to be answered.
@@ -463,18 +573,27 @@
     /// Guards against a request that the module still owes its answer when the client, or the platform, is about
     /// to give up.
     fn overdue(&mut self, id: RequestId) {
-        let untried = self.requests.get(&id).is_some_and(|h| h.attempts.is_empty());
+        if self.give_up(id) {
+            let request = self.requests.get(&id).and_then(|h| h.forward.id());
+            tracing::warn!(request, "answered at the deadline");
+        }
+        self.forget(id);
+    }
+
+    /// Answers a request here that the module still owes its answer; false where it has one.
+    fn give_up(&mut self, id: RequestId) -> bool {
+        let Some(held) = self.requests.get(&id) else { return false };
+        let (service, untried) = (held.service, held.attempts.is_empty());
         let reply = if untried {
             Reply::Refused { retry_after: Span(0) }
         } else {
             Reply::Failed { late: true }
         };
-        if self.answer(id, reply) {
-            let request = self.requests.get(&id).and_then(|h| h.forward.id());
-            tracing::warn!(request, "answered at the deadline");
-            self.tell(Event::Left(id));
+        let given = self.answer(id, reply);
+        if given {
+            self.tell(service, Event::Left(id));
         }
-        self.forget(id);
+        given
     }
 
     /// Gives the final answer, unless there was one.
@@ -500,6 +619,7 @@
             self.answer(id, Reply::Served(response));
         }
         let held = self.requests.get(&id);
+        let service = held.map(|h| h.service);
         let over = held.is_none_or(|h| h.reply.is_none());
         let spent = held.is_some_and(|h| h.forward.body.is_spent());
         let answer = d::Answer {
@@ -514,26 +634,40 @@
                 over,
             )
         };
-        self.handle(Event::Answered(answer));
+        if let Some(service) = service {
+            self.handle(service, Event::Answered(answer));
+        }
         self.forget(id);
     }
 
     /// Drops a request that is answered and has nothing out.
     fn forget(&mut self, id: RequestId) {
-        if self.requests.get(&id).is_some_and(|h| h.reply.is_none() && h.out() == 0) {
-            self.requests.remove(&id);
+        let over = |h: &Held| h.reply.is_none() && h.out() == 0;
+        if self.requests.get(&id).is_some_and(over)
+            && let Some(held) = self.requests.remove(&id)
+        {
+            self.services.closed(held.service);
         }
     }
 
     fn listed(&mut self, list: &List, kind: ListKind) {
-        let members = self.upstreams.update(list, kind, &self.pool, &self.figures);
-        self.ready.set(self.upstreams.any_open());
-        self.tell(Event::Members { kind, list: &members });
+        let Told { changes, members } = self.services.told(list, kind);
+        self.changed(&changes);
+        for (service, members) in members {
+            self.tell(service, Event::Members { kind, list: &members });
+        }
+    }
+
+    fn changed(&mut self, changes: &[Change]) {
+        for change in changes {
+            self.upstreams.change(change, &self.pool, &self.figures);
+        }
+        self.ready.set(self.services.any_live());
     }
 
     /// Tells the module, and carries out what it says until nothing is left to tell.
-    fn tell(&mut self, event: Event) {
-        self.handle(event);
+    fn tell(&mut self, service: ServiceId, event: Event) {
+        self.handle(service, event);
         self.catch_up();
     }
 
@@ -543,16 +677,16 @@
         }
     }
 
-    fn handle(&mut self, event: Event) {
-        self.balancer.handle(self.clock.now(), event, &mut self.actions);
+    fn handle(&mut self, service: ServiceId, event: Event) {
+        self.services.handle(self.clock.now(), service, event, &mut self.actions);
         let mut actions = std::mem::take(&mut self.actions);
         for action in actions.drain(..) {
-            self.carry_out(action);
+            self.carry_out(service, action);
         }
         self.actions = actions;
     }
 
-    fn carry_out(&mut self, action: Action) {
+    fn carry_out(&mut self, service: ServiceId, action: Action) {
         match action {
             Action::Send { request, server, timeout, before } => {
                 self.send(request, server, timeout, before);
@@ -574,7 +708,7 @@
                 }
             }
             Action::Arm { token, at } => {
-                self.timers.push(Reverse((self.clock.instant(at), Due::Token(token))));
+                self.timers.push(Reverse((self.clock.instant(at), Due::Token(service, token))));
             }
             Action::CloseIdle { server } => self.pool.close_idle(server),
             Action::Subscribe => self.order(Order::Ask),
@@ -611,27 +745,15 @@
     }
 }
 
-/// The upstreams that the list has named, by the module's handle.
+/// The upstreams as connections know them, by the module's handle.
+#[derive(Default)]
 struct Upstreams {
-    ids: FxHashMap<String, ServerId>,
     targets: Vec<Rc<Target>>,
     /// Of the same upstreams, where operators can ask for them.
     figures: Vec<Option<figures::Upstream>>,
-    zones: Vec<String>,
-    kinds: Vec<String>,
 }
 
 impl Upstreams {
-    fn new(config: &Config) -> Self {
-        Self {
-            ids: FxHashMap::default(),
-            targets: Vec::new(),
-            figures: Vec::new(),
-            zones: config.facts.zones.clone(),
-            kinds: config.facts.machine_types.clone(),
-        }
-    }
-
     fn target(&self, server: ServerId) -> Option<Rc<Target>> {
         self.targets.get(server.0 as usize).cloned()
     }
@@ -640,90 +762,28 @@
         self.figures.get(server.0 as usize)?.as_ref()
     }
 
-    fn any_open(&self) -> bool {
-        self.targets.iter().any(|t| !t.closed.get())
-    }
-
-    /// Takes in a list and puts it into the module's words.
-    fn update(
-        &mut self,
-        list: &List,
-        kind: ListKind,
-        pool: &Pool,
-        figures: &Figures,
-    ) -> Vec<d::Member> {
-        if kind != ListKind::Update {
-            // What a whole list leaves out is gone.
-            let named: Vec<&str> = list.members.iter().map(|m| m.id.as_str()).collect();
-            let named: rustc_hash::FxHashSet<&str> = named.into_iter().collect();
-            for (name, id) in &self.ids {
-                if !named.contains(name.as_str()) {
-                    self.targets[id.0 as usize].closed.set(true);
-                    if self.figures[id.0 as usize].take().is_some() {
-                        figures.forget(name);
-                    }
-                }
-            }
-        }
-        let mut members = Vec::with_capacity(list.members.len());
-        for entry in &list.members {
-            // Without a valid address the last one stands: that it drains must not be lost with it.
-            let known = self.ids.get(&entry.id).map(|id| self.targets[id.0 as usize].address.get());
-            let Some(address) = entry.host_port.parse().ok().or(known) else {
-                tracing::warn!(id = entry.id, address = entry.host_port, "no such address");
-                continue;
-            };
-            let id = self.id(entry, address);
-            let target = &self.targets[id.0 as usize];
-            if target.address.replace(address) != address {
-                pool.close_idle(id);
-            }
-            match entry.phase {
-                Phase::Serving => target.closed.set(false),
-                Phase::Draining | Phase::Deleted | Phase::Unknown => target.closed.set(true),
-            }
-            let counted = &mut self.figures[id.0 as usize];
-            if entry.phase == Phase::Deleted {
-                *counted = None;
-                figures.forget(&entry.id);
-            } else if counted.is_none() {
-                *counted = figures.upstream(&entry.id);
-            }
-            members.push(self.member(id, entry));
-        }
-        members
-    }
-
-    fn id(&mut self, entry: &Entry, address: SocketAddr) -> ServerId {
-        if let Some(id) = self.ids.get(&entry.id) {
-            return *id;
+    /// Takes in what became of an upstream.
+    fn change(&mut self, change: &Change, pool: &Pool, figures: &Figures) {
+        let at = change.server.0 as usize;
+        // Handles count up from 0, in the order in which upstreams are first named.
+        if at == self.targets.len() {
+            let target = Target { address: Cell::new(change.address), closed: Cell::new(false) };
+            self.targets.push(Rc::new(target));
+            self.figures.push(None);
         }
-        self.figures.push(None);
-        let id = ServerId(self.targets.len() as u32);
-        self.ids.insert(entry.id.clone(), id);
-        self.targets
-            .push(Rc::new(Target { address: Cell::new(address), closed: Cell::new(false) }));
-        id
-    }
-
-    fn member(&self, id: ServerId, entry: &Entry) -> d::Member {
-        // A name that the settings don't have is none of those that they do.
-        let index = |names: &[String], name: &str| {
-            names.iter().position(|n| n == name).unwrap_or(names.len()) as u32
+        let (Some(target), Some(counted)) = (self.targets.get(at), self.figures.get_mut(at)) else {
+            return;
         };
-        d::Member {
-            id,
-            identity: stable_hash(&entry.id),
-            zone: index(&self.zones, &entry.locality),
-            kind: index(&self.kinds, &entry.flavor),
-            cell: entry.cell,
-            status: match entry.phase {
-                Phase::Serving => d::Status::Live,
-                Phase::Draining | Phase::Unknown => d::Status::Draining,
-                Phase::Deleted => d::Status::Gone,
-            },
-            weight: entry.size,
-            started: (entry.up_since_ms > 0.0).then_some(Time((entry.up_since_ms * 1000.0) as i64)),
+        if target.address.replace(change.address) != change.address {
+            pool.close_idle(change.server);
+        }
+        target.closed.set(change.status != Status::Live);
+        if change.status != Status::Gone {
+            if counted.is_none() {
+                *counted = figures.upstream(&change.id);
+            }
+        } else if counted.take().is_some() {
+            figures.forget(&change.id);
         }
     }
 }
--- a/src/bin/hollowpaddle/main.rs
+++ b/src/bin/hollowpaddle/main.rs
@@ -30,7 +30,7 @@
 
 use bodies::Memory;
 use clients::Front;
-use config::Config;
+use config::{Anew, Config};
 use engine::{Engine, Handle};
 use lifecycle::Lifecycle;
 use management::Management;
@@ -117,8 +117,10 @@
     let listener = open(config.listen)?;
     let calls = config.management.map(open).transpose()?;
     let budget = config.budget();
-    let classes = config.facts.classes.iter().map(|s| s.name.as_str());
-    let figures = Figures::new(classes, config.management.is_some());
+    let figures = Figures::new(config.management.is_some());
+    for (service, classes) in engine::named(&config.catalog) {
+        figures.serve(service, classes);
+    }
     let keeper = config.state_dir.as_deref().map(Keeper::open).transpose();
     let keeper = keeper.map_err(|e| format!("state_dir: {e}"))?;
     let memory = Memory::new(config.memory / KEPT_OF_MEMORY);
@@ -137,7 +139,7 @@
     // The bound address, not the wanted one: with port 0 it is the only word of where clients connect.
     let bound = listener.local_addr().map_err(|e| format!("listen on {}: {e}", config.listen))?;
     tracing::info!(name = config.name, "listening on {bound}");
-    let front = Rc::new(Front::new(&config, handle, lifecycle, figures, memory, budget.clients));
+    let front = Rc::new(Front::new(handle, lifecycle, figures, memory, budget.clients));
     let serve = front.serve(listener, Mark::leave(bound), async move {
         term.recv().await;
     });
@@ -148,13 +150,14 @@
     }
 }
 
-/// On SIGHUP the file names another address of discovery. Failure: unhandled, the signal ended the program.
+/// On SIGHUP the file may name another address of discovery, and other services and routes. Failure: unhandled, the signal ended the program.
 async fn reconfigure(mut hangup: Signal, engine: Handle) {
     while hangup.recv().await.is_some() {
-        match Config::discovery_now() {
-            Ok(addresses) => {
-                tracing::info!(?addresses, "discovery has moved");
-                engine.discovery_moved(addresses);
+        match Config::anew() {
+            Ok(Anew { discovery, catalog }) => {
+                tracing::info!(addresses = ?discovery, "discovery has moved");
+                engine.discovery_moved(discovery);
+                engine.reload(catalog);
             }
             // What was in force still serves; a balancer that ends on a bad file would not.
             Err(cause) => tracing::warn!(%cause, "the new configuration is left aside"),
--- a/src/discovery/member.rs
+++ b/src/discovery/member.rs
@@ -108,12 +108,6 @@
     }
 }
 
-/// What keeps this from being the name of a service: longer than [`LONGEST_SERVICE`], a comma or a control character.
-pub fn service_fault(name: &str) -> Option<&'static str> {
-    let unfit = name.len() > LONGEST_SERVICE || name.contains(|c: char| c == ',' || c.is_control());
-    unfit.then_some("at most 256 bytes, no comma, no control character")
-}
-
 /// The longest id, in bytes.
 pub const LONGEST_ID: usize = 256;
 /// The longest name of a service, in bytes.
--- a/src/figures/mod.rs
+++ b/src/figures/mod.rs
@@ -1,7 +1,7 @@
 //! What operators are told of the service, counted where it happens and never taken back. Counted and written in
 //! Prometheus's text format by the `prometheus-client` crate.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::atomic::AtomicU64;
@@ -16,6 +16,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
+use rustc_hash::FxHashMap;
 use serde_json::{Map, Value, json};
 
 use crate::interface::Outcome;
@@ -90,7 +91,8 @@
 }
 
 struct Responses {
-    name: String,
+    service: String,
+    class: String,
     ok: Counter,
     shed: Counter,
     errors: Counter,
@@ -134,7 +136,10 @@
 /// The figures of one proxy.
 pub struct Figures {
     registry: Registry,
-    responses: Vec<Responses>,
+    requests: Family<Labels, Counter>,
+    responses: RefCell<Vec<Responses>>,
+    /// Where the classes of each service begin there.
+    services: RefCell<FxHashMap<String, usize>>,
     /// Attempts whose last byte was handed over to an upstream; the streams to upstreams count them.
     pub tries: Counter,
     active: Gauge,
@@ -146,22 +151,11 @@
 }
 
 impl Figures {
-    /// Every class is there from the start: an absent one could not be told from one that is never counted.
-    /// `asked` is whether operators have an address to ask at.
-    pub fn new<'a>(classes: impl Iterator<Item = &'a str>, asked: bool) -> Rc<Self> {
+    /// Of a proxy whose services are told of by [`Figures::serve`]; `asked` is whether operators have an address to
+    /// ask at.
+    pub fn new(asked: bool) -> Rc<Self> {
         let mut registry = Registry::default();
         let requests = Family::<Labels, Counter>::default();
-        let of = |class: &str, end: &str| {
-            requests.get_or_create(&labels(&[("class", class), ("end", end)])).clone()
-        };
-        let responses = classes
-            .map(|name| Responses {
-                name: name.to_owned(),
-                ok: of(name, "ok"),
-                shed: of(name, "shed"),
-                errors: of(name, "errors"),
-            })
-            .collect();
         let (tries, active) = (Counter::default(), Gauge::default());
         let pool: [Gauge; 2] = Default::default();
         let attempts = Family::<Labels, Counter>::default();
@@ -181,12 +175,52 @@
             "Time of attempts that were served or timed out, by upstream",
             latencies.clone(),
         );
-        Rc::new(Self { registry, responses, tries, active, pool, attempts, latencies, asked })
+        let (responses, services) = Default::default();
+        Rc::new(Self {
+            registry,
+            requests,
+            responses,
+            services,
+            tries,
+            active,
+            pool,
+            attempts,
+            latencies,
+            asked,
+        })
+    }
+
+    /// A service is served from now on; the name of a proxy's only one is empty. Every class is there from the start:
+    /// an absent one could not be told from one that is never counted.
+    pub fn serve<'a>(&self, service: &str, classes: impl Iterator<Item = &'a str>) {
+        let mut services = self.services.borrow_mut();
+        if services.contains_key(service) {
+            return;
+        }
+        let mut responses = self.responses.borrow_mut();
+        services.insert(service.to_owned(), responses.len());
+        for class in classes {
+            let of = |end: &str| {
+                let mut of = vec![("class", class), ("end", end)];
+                if !service.is_empty() {
+                    of.push(("service", service));
+                }
+                self.requests.get_or_create(&labels(&of)).clone()
+            };
+            responses.push(Responses {
+                service: service.to_owned(),
+                class: class.to_owned(),
+                ok: of("ok"),
+                shed: of("shed"),
+                errors: of("errors"),
+            });
+        }
     }
 
-    /// A request has been taken.
-    pub fn take(self: &Rc<Self>, class: usize) -> Taken {
+    /// A request of this service has been taken.
+    pub fn take(self: &Rc<Self>, service: &str, class: usize) -> Taken {
         self.active.inc();
+        let class = self.services.borrow().get(service).map(|first| first + class);
         Taken { figures: self.clone(), class, end: Cell::new(None) }
     }
 
@@ -213,14 +247,15 @@
 
     /// The figures as operators read them, with what the module tells of its upstreams.
     pub fn told(&self, (pool_size, pool_ejected): (usize, usize)) -> Value {
-        let responses: Map<String, Value> = self
-            .responses
-            .iter()
-            .map(|r| {
-                let (ok, shed, errors) = (r.ok.get(), r.shed.get(), r.errors.get());
-                (r.name.clone(), json!({"ok": ok, "shed": shed, "errors": errors}))
-            })
-            .collect();
+        let mut responses = Map::new();
+        for r in self.responses.borrow().iter() {
+            let (ok, shed, errors) = (r.ok.get(), r.shed.get(), r.errors.get());
+            let name = match r.service.as_str() {
+                "" => r.class.clone(),
+                service => format!("{service}/{}", r.class),
+            };
+            responses.insert(name, json!({"ok": ok, "shed": shed, "errors": errors}));
+        }
         json!({
             "responses": responses,
             "tries": self.tries.get(),
@@ -242,7 +277,7 @@
 /// is done with; a client that left before there was one counts under nothing.
 pub struct Taken {
     figures: Rc<Figures>,
-    class: usize,
+    class: Option<usize>,
     end: Cell<Option<End>>,
 }
 
@@ -257,7 +292,8 @@
     fn drop(&mut self) {
         let figures = &self.figures;
         figures.active.dec();
-        let Some(responses) = figures.responses.get(self.class) else { return };
+        let responses = figures.responses.borrow();
+        let Some(responses) = self.class.and_then(|c| responses.get(c)) else { return };
         match self.end.get() {
             Some(End::Served) => drop(responses.ok.inc()),
             Some(End::Refused) => drop(responses.shed.inc()),
--- a/src/services/catalog.rs
+++ b/src/services/catalog.rs
@@ -1,10 +1,10 @@
 //! What a balancer's configuration says of its services: their names, settings and routes, checked whole before any
 //! of it is used.
 
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use serde::Deserialize;
 
-use crate::discovery::member::service_fault;
+use crate::discovery::member::{Message, service_fault};
 use crate::interface::Effect;
 use crate::interface::SettingsError;
 use crate::routing::{Route, RouteError, RouteTable};
@@ -127,6 +127,16 @@
     },
 }
 
+/// What became of a list from before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Narrowed {
+    /// Whether it named upstreams of no service here.
+    pub changed: bool,
+    /// Whether each service has upstreams in it: one that has none may not have been followed then, and the whole
+    /// list has to be asked for.
+    pub whole: bool,
+}
+
 /// All services of a balancer, and which requests are whose.
 #[derive(Debug)]
 pub struct Catalog {
@@ -165,7 +175,7 @@
             let cause = "where there are services, each states its own";
             return Err(invalid("settings.Tenants".into(), cause));
         }
-        let mut seen = rustc_hash::FxHashSet::default();
+        let mut seen = FxHashSet::default();
         let mut ready = Vec::with_capacity(services.len());
         for (i, entry) in services.iter().enumerate() {
             let key = || format!("services[{i}].name");
@@ -200,6 +210,23 @@
         }
     }
 
+    /// Takes out of a list from before what is of no service here.
+    pub fn narrow(&self, list: &mut Message) -> Narrowed {
+        if self.is_single() {
+            return Narrowed { changed: false, whole: true };
+        }
+        let mut missing: FxHashSet<&str> = self.services.iter().map(|s| s.name.as_str()).collect();
+        let names = missing.clone();
+        let before = list.members.len();
+        list.members.retain(|m| names.contains(m.service.as_str()));
+        let changed = list.members.len() < before;
+        list.complete |= changed;
+        for member in &list.members {
+            missing.remove(member.service.as_str());
+        }
+        Narrowed { changed, whole: missing.is_empty() }
+    }
+
     /// The names that members of the list carry; `None` where all are wanted.
     pub fn names(&self) -> Option<Vec<String>> {
         let names = || self.services.iter().map(|s| s.name.clone()).collect();
--- a/src/services/mod.rs
+++ b/src/services/mod.rs
@@ -12,7 +12,7 @@
 
 use std::rc::Rc;
 
-pub use catalog::{Catalog, CatalogError, Overrides, Service, ServiceEntry};
+pub use catalog::{Catalog, CatalogError, Narrowed, Overrides, Service, ServiceEntry};
 pub use directory::{Change, Directory, Told};
 
 use crate::discovery::member::Message;
--- a/src/services/tests.rs
+++ b/src/services/tests.rs
@@ -297,3 +297,19 @@
     assert!(caller.request(ServiceId(0), 1).is_some());
     assert!(caller.services.routing().find("any.example", "/any").is_some());
 }
+
+#[test]
+fn a_list_from_before_is_followed_on_only_where_it_names_every_service() {
+    let list = |members| Message { revision: 7, complete: true, members };
+    let narrowed = |mut list: Message| {
+        let narrowed = catalog(&["a", "b"]).narrow(&mut list);
+        (narrowed.changed, narrowed.whole, list.members.len(), list.complete)
+    };
+    assert_eq!(narrowed(list(fleet(&["a", "b"], 2))), (false, true, 4, true));
+    assert_eq!(narrowed(list(fleet(&["a"], 2))), (false, false, 2, true));
+    assert_eq!(narrowed(list(fleet(&["a", "b", "c"], 1))), (true, true, 2, true));
+    assert_eq!(narrowed(list(Vec::new())), (false, false, 0, true));
+    let single = Catalog::single(&facts("subscribe")).expect("sound");
+    let expect = Narrowed { changed: false, whole: true };
+    assert_eq!(single.narrow(&mut list(fleet(&["c"], 1))), expect);
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -2,6 +2,7 @@
 
 mod crossings;
 mod operations;
+mod routed;
 mod sites;
 mod streams;
 mod stubs;
