The list is heard from a service that takes long to answer

Symptom: a bank that starts again while its discovery takes 2.5 s to answer never hears a list; each proxy goes on with the list of its configuration, drains included. Cause: `Follow::call` gave up the oldest of eight calls for each further one. With a call every quarter of the grace a call had twice the grace, 1 s at 0.5 s and 0.2 s at 0.1 s, and an answer that took longer never came in time. Ruled out: the calls themselves (answered in 0.9 s the list is heard), the module (it is told nothing). Change: the oldest keeps its time, 3 s (`CALL`), and the next one is given up in its place. No more calls, none later.

--- a/src/discovery/follow.rs
+++ b/src/discovery/follow.rs
@@ -20,7 +20,7 @@
 pub const SILENCE: Duration = Duration::from_millis(3500);
 /// An answered call says something within 2 s.
 pub const FIRST_WORD: Duration = Duration::from_millis(2200);
-/// A call that waits for its turn longer than this has failed, where lists are asked for.
+/// A call that waits for its answer longer than this has failed.
 pub const CALL: Duration = Duration::from_millis(3000);
 /// Most of the time between two calls where there is no other address: it is an agent on this machine, which
 /// answers at no cost.
@@ -89,8 +89,8 @@
     failures: usize,
     waits: ExponentialBackoff,
     serial: u64,
-    /// Open calls, oldest first.
-    open: Vec<u64>,
+    /// Open calls, oldest first, and when each was made.
+    open: Vec<(u64, Instant)>,
     called: Option<Instant>,
     /// When to call again, or, where lists are asked for, to give up.
     due: Option<Instant>,
@@ -147,6 +147,10 @@
         self.revision
     }
 
+    fn is_open(&self, serial: u64) -> bool {
+        self.open.iter().any(|(open, _)| *open == serial)
+    }
+
     /// When [`Self::pass`] has something to do.
     pub fn due(&self) -> Option<Instant> {
         self.due
@@ -187,14 +191,14 @@
 
     /// A call was answered, though nothing was told yet.
     pub fn answered(&mut self, serial: u64, now: Instant) {
-        if self.open.contains(&serial) {
+        if self.is_open(serial) {
             self.due = Some(now + FIRST_WORD);
         }
     }
 
     /// A watch spoke: a sign of life, or a message. Whether it is one that counts.
     pub fn spoke(&mut self, serial: u64, now: Instant) -> bool {
-        let counts = self.open.contains(&serial);
+        let counts = self.is_open(serial);
         if counts {
             self.only(Some(serial));
             self.due = Some(now + SILENCE);
@@ -204,7 +208,7 @@
 
     /// A watch told a message of this revision.
     pub fn told(&mut self, serial: u64, revision: u64, now: Instant) -> Verdict {
-        if !self.open.contains(&serial) {
+        if !self.is_open(serial) {
             return Verdict::Nobody;
         }
         if revision < self.revision && !self.anew {
@@ -220,7 +224,7 @@
 
     /// A call failed, or a watch ended.
     pub fn ended(&mut self, serial: u64, now: Instant) {
-        let Some(at) = self.open.iter().position(|open| *open == serial) else { return };
+        let Some(at) = self.open.iter().position(|(open, _)| *open == serial) else { return };
         self.open.remove(at);
         if self.mode == Mode::Asked {
             let round = self.failures + 1 < self.addresses.len();
@@ -271,18 +275,23 @@
         let (serial, index) = (self.serial, if self.anew { 0 } else { self.revision });
         let most = if self.mode == Mode::Asked { MOST_ASKED } else { MOST_OPEN };
         if self.open.len() >= most {
-            self.steps.push(Step::Drop(self.open.remove(0)));
+            // The oldest keeps its time. Failure: of a service that took longer than it took to make so many calls,
+            // each was given up before its answer came, and a bank that started again never heard a list.
+            let oldest_waits = self.open.first().is_some_and(|(_, made)| now < *made + CALL);
+            let (given_up, _) = self.open.remove(usize::from(oldest_waits && most > 1));
+            self.steps.push(Step::Drop(given_up));
         }
         self.steps.push(Step::Call { serial, address, index });
-        self.open.push(serial);
+        self.open.push((serial, now));
         self.called = Some(now);
         self.due = Some(now + self.again());
     }
 
     /// Ends all calls but this one.
     fn only(&mut self, kept: Option<u64>) {
-        self.steps.extend(self.open.iter().filter(|s| Some(**s) != kept).map(|s| Step::Drop(*s)));
-        self.open.retain(|s| Some(*s) == kept);
+        let others = self.open.iter().filter(|(s, _)| Some(*s) != kept);
+        self.steps.extend(others.map(|(s, _)| Step::Drop(*s)));
+        self.open.retain(|(s, _)| Some(*s) == kept);
     }
 
     fn lost(&mut self) {
--- a/tests/crossings/mod.rs
+++ b/tests/crossings/mod.rs
@@ -1,6 +1,8 @@
 //! What comes between two lines: a request, an answer, a close or a signal in the moment in which the proxy
 //! turns to something else. Each is made to come there every time, by a peer that holds back until it is let go.
 
+mod takeovers;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::Command;
--- a/tests/list_client.rs
+++ b/tests/list_client.rs
@@ -47,6 +47,8 @@
     Late,
     /// Connections come up again, at all addresses.
     Accept,
+    /// Each call is answered so many milliseconds after it was made.
+    Slow(u64),
     /// Calls are answered, and then not a word more is said to them.
     Mute,
     /// Connections come up at this address alone; at the others they never do.
@@ -77,6 +79,7 @@
     reset: watch::Sender<u32>,
     said: watch::Sender<(u32, &'static str)>,
     answers_hung: Cell<bool>,
+    takes: Cell<Duration>,
     door: Cell<Door>,
     layout: Layout,
     /// When each call came, and from which index.
@@ -92,6 +95,7 @@
             reset: watch::Sender::new(0),
             said: watch::Sender::new((0, "")),
             answers_hung: Cell::new(false),
+            takes: Cell::default(),
             door: Cell::new(Door::Open),
             layout,
             calls: RefCell::default(),
@@ -139,6 +143,7 @@
                 return std::future::pending().await;
             }
         }
+        sleep(self.takes.get()).await;
         stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
         if mute {
             return std::future::pending().await;
@@ -203,6 +208,7 @@
             Do::Stall => self.door.set(Door::Stalled),
             Do::Late => self.door.set(Door::Late),
             Do::Accept => self.door.set(Door::Open),
+            Do::Slow(ms) => self.takes.set(Duration::from_millis(ms)),
             Do::Mute => self.door.set(Door::Mute),
             Do::Only(port) => self.door.set(Door::Only(port)),
             Do::Say(text) => self.said.send_modify(|said| *said = (said.0 + 1, text)),
@@ -451,6 +457,37 @@
     }
 }
 
+#[test]
+fn a_service_that_takes_long_to_answer_is_heard_however_often_it_is_called() {
+    // A bank that starts again finds its discovery slow; and one whose watches have fallen silent.
+    let scripts: [&[(u64, Do)]; 2] = [&[], &[(5000, Do::Silence)]];
+    let pushed = |ms| Mode::Pushed { grace: Duration::from_millis(ms) };
+    for mode in [pushed(100), pushed(500), PUSHED, pushed(4000), Mode::Asked] {
+        for addresses in [1, 3] {
+            for takes in [500, 1100, 2200, 2900] {
+                for script in scripts {
+                    let begins = script.last().map_or(0, |(at, _)| *at);
+                    let mut script = script.to_vec();
+                    script.extend([(begins, Do::Slow(takes)), (begins, Do::Change)]);
+                    let agent = Agent::new(Layout::Line);
+                    let (heard, after) = paused(async {
+                        let start = Instant::now();
+                        let length = Duration::from_secs(20);
+                        let heard = play(&agent, mode, addresses, &script, length).await;
+                        let at = heard.told.first().map(|(at, _)| *at - start);
+                        (heard, at.map(|at| at - Duration::from_millis(begins)))
+                    });
+                    let what = format!("{mode:?}, {addresses} addresses, {takes} ms, {script:?}");
+                    let after = after.unwrap_or_else(|| panic!("{what}: never heard"));
+                    let most = if begins > 0 { 3500 + takes } else { takes };
+                    assert!(after <= Duration::from_millis(most + 10), "{what}: {after:?}");
+                    assert_eq!(heard.told.len(), 1, "{what}");
+                }
+            }
+        }
+    }
+}
+
 #[test]
 fn what_is_no_list_ends_the_watch_and_leaves_the_list_as_it_was() {
     let endless: &'static str = Box::leak(format!("{{\"a\":\"{}", "x".repeat(5 << 20)).into());
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -198,17 +198,32 @@
 
 impl Discovery {
     pub fn start() -> Self {
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        Self::saying(head.to_owned(), Duration::ZERO)
+    }
+
+    /// Says this so long after each call.
+    pub fn saying(first: String, after: Duration) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
         let (tell, watches) = channel();
         thread::spawn(move || {
             for stream in listener.incoming() {
-                let mut stream = stream.expect("accepted");
-                let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
-                let Some(call) = read_message(&mut reader) else { continue };
-                let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-                let _ = stream.write_all(head.as_bytes());
-                let _ = tell.send((call.first, stream));
+                let (mut stream, tell, first) =
+                    (stream.expect("accepted"), tell.clone(), first.clone());
+                let answer = move || {
+                    let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
+                    let Some(call) = read_message(&mut reader) else { return };
+                    thread::sleep(after);
+                    let _ = stream.write_all(first.as_bytes());
+                    let _ = tell.send((call.first, stream));
+                };
+                // Who takes no time answers in the order of the calls.
+                if after.is_zero() {
+                    answer();
+                } else {
+                    thread::spawn(answer);
+                }
             }
         });
         Self { address, watches }
@@ -322,8 +337,21 @@
         Self::start_at(command, config, listen)
     }
 
-    fn start_at(mut command: Command, config: &Value, listen: SocketAddr) -> Self {
-        let discovery = Discovery::start();
+    /// Starts it at this address, where this discovery tells the list.
+    pub fn told_by(discovery: Discovery, config: &Value, listen: SocketAddr) -> Self {
+        Self::launch(Command::new(NODE), config, listen, discovery)
+    }
+
+    fn start_at(command: Command, config: &Value, listen: SocketAddr) -> Self {
+        Self::launch(command, config, listen, Discovery::start())
+    }
+
+    fn launch(
+        mut command: Command,
+        config: &Value,
+        listen: SocketAddr,
+        discovery: Discovery,
+    ) -> Self {
         let path = write_config(&config.to_string());
         let mut child = command
             .env("LB_NAME", "n0")
