A process that ends knows whether another goes on, not which one came last

Symptom: (1) a successor that was killed still counts: the old process, told to end, says ready, accepts no more, and the next connection is refused. (2) Of two that take over at once, or where a successor is told to end and the old process stays, the one that came last answers `/-/ready` with 503 beside one that serves, and the front turns from both. Cause: `Mark` was one file with the name of the newest process. A killed one takes nothing back, and the newest that ends finds its own name there. Change: each process holds a locked file of its own; the system frees the lock of whoever dies. One that ends takes its own away first, then asks whether any other is held. In doubt there is none, as before. The file is made under another name, locked, and renamed, so that none is found unlocked that lives.

--- a/src/bin/hollowpaddle/succession.rs
+++ b/src/bin/hollowpaddle/succession.rs
@@ -1,7 +1,8 @@
-//! Whether a newer process listens at the same address: two share it while one replaces the other.
+//! Whether another process serves the same address: two share it while one replaces the other.
 
+use std::fs::{File, TryLockError};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use socket2::{Domain, Protocol, Socket, Type};
@@ -27,35 +28,65 @@
     TcpListener::from_std(socket.into())
 }
 
-/// The file that names the process which came last to an address. A file, for a process that is replaced
-/// hears of it from nobody: its successor knows neither its id nor where its operators call.
+/// This process's word that it serves an address: a file that it holds locked for as long as it lives. A file, for
+/// a process that is replaced hears of it from nobody: its successor knows neither its id nor where its operators
+/// call. Locked, for one that was killed leaves its file behind, and succeeds nobody.
 pub struct Mark {
-    path: PathBuf,
-    own: String,
+    folder: PathBuf,
+    /// What the names of all marks at this address begin with.
+    prefix: String,
+    name: String,
+    _locked: Option<File>,
 }
 
 impl Mark {
-    /// Marks this process as the newest at `listen`.
+    /// Marks this process as one that serves `listen`.
     pub fn leave(listen: SocketAddr) -> Self {
-        let name = listen.to_string().replace(|c: char| !c.is_ascii_alphanumeric(), "-");
-        let path = std::env::temp_dir().join(format!("hollowpaddle-newest-{name}"));
+        let at = listen.to_string().replace(|c: char| !c.is_ascii_alphanumeric(), "-");
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let own = format!("{}-{}", std::process::id(), since.as_nanos());
-        if let Err(cause) = std::fs::write(&path, &own) {
-            tracing::warn!(%cause, path = %path.display(), "no mark left for a process replaced");
-        }
-        Self { path, own }
+        let (folder, prefix) = (std::env::temp_dir(), format!("hollowpaddle-serves-{at}-"));
+        let name = format!("{prefix}{}-{}", std::process::id(), since.as_nanos());
+        let locked = lock(&folder, &name).inspect_err(|cause| {
+            tracing::warn!(%cause, folder = %folder.display(), "no mark left for a process replaced");
+        });
+        Self { folder, prefix, name, _locked: locked.ok() }
     }
 
-    /// Takes the mark away again, unless it is a newer process's by now.
+    /// Takes the mark away.
     pub fn take_back(&self) {
-        if !self.succeeded() {
-            let _ = std::fs::remove_file(&self.path);
-        }
+        let _ = std::fs::remove_file(self.folder.join(&self.name));
     }
 
-    /// Whether a newer process has left its mark since. In doubt there is none.
+    /// Takes the mark away, and tells whether another process goes on serving the address. In doubt there is none.
+    /// Of two that end at once neither counts for the other: each takes its own away first.
     pub fn succeeded(&self) -> bool {
-        std::fs::read_to_string(&self.path).is_ok_and(|newest| newest != self.own)
+        self.take_back();
+        let Ok(files) = std::fs::read_dir(&self.folder) else { return false };
+        let files = files.filter_map(Result::ok);
+        let mut others =
+            files.filter(|f| f.file_name().to_string_lossy().starts_with(&self.prefix));
+        others.any(|other| held(&other.path()))
+    }
+}
+
+/// Makes a file that is locked before others can find it.
+fn lock(folder: &Path, name: &str) -> std::io::Result<File> {
+    let unfinished = folder.join(format!(".{name}"));
+    let file = File::create(&unfinished)?;
+    file.try_lock()?;
+    std::fs::rename(unfinished, folder.join(name))?;
+    Ok(file)
+}
+
+/// Whether the process that made this mark lives; what a dead one left is removed.
+fn held(mark: &Path) -> bool {
+    let Ok(file) = File::open(mark) else { return false };
+    match file.try_lock_shared() {
+        Err(TryLockError::WouldBlock) => true,
+        Err(TryLockError::Error(_)) => false,
+        Ok(()) => {
+            let _ = std::fs::remove_file(mark);
+            false
+        }
     }
 }
--- a/tests/crossings/takeovers.rs
+++ b/tests/crossings/takeovers.rs
@@ -1,10 +1,104 @@
 //! Processes that follow one another at an address: killed, told to end or started in the moment in which another
 //! relies on them.
 
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+
 use super::*;
 
 const READY: &str = "GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n";
 
+#[test]
+fn a_successor_that_was_killed_succeeds_nobody() {
+    let upstream = Upstream::start(|_| ok("ok"));
+    let config = config(members(&[&upstream]));
+    let mut old = Node::managed(&config);
+    let new = Node::managed_at(&config, old.address);
+    // Killed outright, it takes nothing back.
+    drop(new);
+    old.signal("TERM");
+    pause(100);
+    // New ones still come for a while, and the front has to hear that nobody will be there.
+    assert_eq!(Client::to(old.address).ask(READY).status(), 503);
+    assert_eq!(Client::to(old.address).ask(&read("r1", 5000)).status(), 200);
+    assert_eq!(old.exit_code(), Some(0));
+}
+
+/// Clients that come all the while, each on a connection of its own, until it is dropped: none is turned back.
+struct Comers {
+    stop: Arc<AtomicBool>,
+    served: Option<JoinHandle<usize>>,
+}
+
+impl Comers {
+    fn start(address: SocketAddr) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let stopped = stop.clone();
+        let come = move || {
+            let mut served = 0;
+            while !stopped.load(Ordering::Relaxed) {
+                let text = if served % 2 == 0 { READY.to_owned() } else { read("r", 5000) };
+                assert_eq!(Client::to(address).ask(&text).status(), 200, "after {served}");
+                served += 1;
+            }
+            served
+        };
+        Self { stop, served: Some(std::thread::spawn(come)) }
+    }
+
+    fn all_were_served(mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        let served = self.served.take().expect("once").join().expect("all were served");
+        assert!(served > 0, "nobody came");
+    }
+}
+
+#[test]
+fn of_two_that_take_over_at_once_the_one_that_stays_serves() {
+    let upstream = Upstream::start(|_| ok("ok"));
+    let config = config(members(&[&upstream]));
+    // Whichever of the two stays.
+    for stays in 0..2 {
+        let old = Node::managed(&config);
+        let address = old.address;
+        let start = || {
+            let config = config.clone();
+            std::thread::spawn(move || Node::managed_at(&config, address))
+        };
+        let (a, b) = (start(), start());
+        let mut both = vec![a.join().expect("started"), b.join().expect("started")];
+        for node in &both {
+            assert_eq!(node.call("GET /admin/health").status(), 200);
+        }
+        let comers = Comers::start(address);
+        pause(100);
+        let new = both.remove(stays);
+        let mut ends = [old, both.remove(0)];
+        ends.iter().for_each(|node| node.signal("TERM"));
+        for node in &mut ends {
+            assert_eq!(node.exit_code(), Some(0));
+        }
+        pause(100);
+        comers.all_were_served();
+        assert_eq!(new.client().ask(&read("r", 5000)).status(), 200);
+    }
+}
+
+#[test]
+fn an_older_process_goes_on_where_its_successor_is_told_to_end() {
+    let upstream = Upstream::start(|_| ok("ok"));
+    let config = config(members(&[&upstream]));
+    let old = Node::managed(&config);
+    let mut new = Node::managed_at(&config, old.address);
+    let comers = Comers::start(old.address);
+    pause(100);
+    new.signal("TERM");
+    assert_eq!(new.exit_code(), Some(0));
+    pause(100);
+    comers.all_were_served();
+    assert_eq!(old.call("GET /admin/health").status(), 200);
+}
+
 #[test]
 fn a_bank_that_starts_again_while_discovery_is_slow_serves_at_once_and_hears_its_list() {
     const BANK: usize = 6;
