What waits for its connection goes to where its upstream is by then

Symptom: the list moves an upstream to another address while an attempt waits for its connection to the old one; the request is sent to the old address, where another program may listen by now. A POST that this one drops counts as one that may have run. Cause: `Pool::exchange` looked anew at whether its upstream takes requests, not at where it is. Change: a connection to another address than the present one is dropped unused, and one to the present address is opened.

--- a/src/bin/hollowpaddle/upstreams.rs
+++ b/src/bin/hollowpaddle/upstreams.rs
@@ -417,6 +417,10 @@
                 self.put(server, link);
                 return Ended::bare(Outcome::Moot);
             }
+            // Its upstream may have moved meanwhile, and another listen where it was.
+            if link.address != target.address.get() {
+                continue;
+            }
             let Some(request) = forward.request(until, sent, &link.written) else {
                 return Ended::bare(Outcome::Moot);
             };
--- a/tests/crossings/mod.rs
+++ b/tests/crossings/mod.rs
@@ -1,6 +1,7 @@
 //! What comes between two lines: a request, an answer, a close or a signal in the moment in which the proxy
 //! turns to something else. Each is made to come there every time, by a peer that holds back until it is let go.
 
+mod answers;
 mod takeovers;
 
 use std::io::{BufRead, BufReader, Read, Write};
