Tests: a release controller stopped with its write on the way, past its duty's TTL

A relay holds the controller's write of the third stage, the controller is stopped, another takes its duty, and only then the write arrives and the controller goes on: it steps down, the list is as before, and once the duty is free it ends the release. It passes as the program is.

--- a/tests/releases.rs
+++ b/tests/releases.rs
@@ -3,10 +3,11 @@
 #[allow(dead_code)] // Each test file uses part of the harness.
 mod harness;
 
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::Command;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
@@ -389,3 +390,84 @@
     assert_eq!(lost_and_failed(&asked), (0, 0), "of {}", asked.len());
     assert!(old.iter().all(|i| get(fleet.address(*i), "/-/ready", &[]).map(|a| a.0) == Some(200)));
 }
+
+/// Stands between a controller and the list service, and holds back what would change a member while it is told to.
+struct Between {
+    address: SocketAddr,
+    holds: Arc<AtomicBool>,
+    held: Arc<AtomicUsize>,
+}
+
+impl Between {
+    fn start(service: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (holds, held) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+        let (hold, count) = (holds.clone(), held.clone());
+        thread::spawn(move || {
+            for client in listener.incoming().map_while(Result::ok) {
+                let Ok(server) = TcpStream::connect(service) else { continue };
+                let (hold, count) = (hold.clone(), count.clone());
+                let (mut back, mut to) = (
+                    server.try_clone().expect("a second handle"),
+                    client.try_clone().expect("a second handle"),
+                );
+                thread::spawn(move || pass_on(client, server, &hold, &count));
+                thread::spawn(move || std::io::copy(&mut back, &mut to));
+            }
+        });
+        Self { address, holds, held }
+    }
+}
+
+fn pass_on(mut from: TcpStream, mut to: TcpStream, hold: &AtomicBool, held: &AtomicUsize) {
+    let mut piece = [0; 16 << 10];
+    while let Ok(n @ 1..) = from.read(&mut piece) {
+        if hold.load(Ordering::SeqCst) && piece.starts_with(b"POST /admin/members") {
+            held.fetch_add(1, Ordering::SeqCst);
+            while hold.load(Ordering::SeqCst) {
+                thread::sleep(Duration::from_millis(5));
+            }
+        }
+        if to.write_all(&piece[..n]).is_err() {
+            return;
+        }
+    }
+    let _ = to.shutdown(Shutdown::Write);
+}
+
+#[test]
+fn a_controller_that_stalls_before_its_write_changes_nothing_once_another_holds_its_duty() {
+    let mut serving = Serving::start(&["--delay-ms", "10"], "");
+    let between = Between::start(serving.cluster.calls[0]);
+    let plan = std::fs::read_to_string(&serving.plan).expect("the plan");
+    let service = format!("\"{}\"", serving.cluster.calls[0]);
+    let plan = plan.replace(&service, &format!("\"{}\"", between.address));
+    std::fs::write(&serving.plan, plan).expect("the plan");
+    let load = serving.load();
+    let release = serving.release();
+    until("the second stage", DONE, || serving.listed("DRAINING") == ["old-0", "old-1"]);
+    between.holds.store(true, Ordering::SeqCst);
+    until("a write of the third", DONE, || between.held.load(Ordering::SeqCst) > 0);
+    serving.fleet.pause(release);
+    let mut token = Value::Null;
+    until("another holds its duty", DONE, || {
+        let body = r#"{"duty":"release/web-2","holder":"other","ttl_ms":30000}"#;
+        let (status, answer) = serving.cluster.write("/admin/leases/acquire", body);
+        token = answer["grant"]["token"].clone();
+        status == 200
+    });
+    // Its write arrives only now; and it goes on, with what it had decided.
+    let before = (serving.listed("SERVING"), serving.listed("DRAINING"));
+    between.holds.store(false, Ordering::SeqCst);
+    thread::sleep(Duration::from_millis(300));
+    serving.fleet.resume(release);
+    until("it steps down", DONE, || serving.fleet.logged(release, "duty lost"));
+    thread::sleep(Duration::from_millis(700));
+    assert_eq!((serving.listed("SERVING"), serving.listed("DRAINING")), before);
+    let body = format!(r#"{{"duty":"release/web-2","token":{token}}}"#);
+    assert_eq!(serving.cluster.write("/admin/leases/release", &body).0, 200);
+    assert_eq!(serving.fleet.ended(release, DONE), Some(0));
+    assert_eq!(serving.listed("SERVING"), named("new"));
+    assert_eq!(lost_and_failed(&load.stop()), (0, 0));
+}
