Tests: the one of a process that stood still no longer depends on how fast it is set up

Symptom: `what_was_told_while_the_process_stood_still_...` failed once in three runs of `tests/node.rs`, and three times of three alone at a load of 36 on 8 cores ("stopped 800 ms, news first", "stopped 4500 ms", no answer). Cause: not the program. AskEvery is 2 s there, so that a list that has told nothing is asked for again a second after the first call; the test speaks on the first watch alone, which has ended by then if 24 clients took longer than that to be served once. Clients that connect first and ask 2.4 s later are closed. Change: AskEvery 60 s, and each client asks as soon as it has come; what is asserted is the same.

--- a/tests/node.rs
+++ b/tests/node.rs
@@ -391,13 +391,18 @@
     // Past the grace of 500 ms, and past the time after which a watch counts as silent.
     for (news_first, stopped_ms) in [(true, 800), (false, 800), (true, 4500)] {
         let (a, b) = (slow("a"), slow("b"));
-        let node = Node::start(&config(members(&[&a, &b])));
+        let mut config = config(members(&[&a, &b]));
+        // Else a list that has told nothing yet is asked for anew after a second, on a watch that nobody tells.
+        config["settings"]["Safety"]["AskEvery"] = json!(60_000.0);
+        let node = Node::start(&config);
         let (_, mut watch) = node.discovery.watch();
         chunk(&mut watch, "\n");
-        // Kept connections at both, and enough clients that both would be used.
-        let mut clients: Vec<Client> = (0..24).map(|_| node.client()).collect();
-        for client in &mut clients {
+        // Kept connections at both, and enough clients that both would be used. Each asks as soon as it has come.
+        let mut clients: Vec<Client> = Vec::new();
+        for _ in 0..24 {
+            let mut client = node.client();
             client.ask(&read("r1", 5000));
+            clients.push(client);
         }
         while a.requests_so_far() + b.requests_so_far() > 0 {}
         node.signal("STOP");
