What has come on a connection is read before its end as idle, or at SIGTERM

Cause: whether a client's connection idles is judged by what the runtime has seen of it. A request that the system holds already, and that the runtime has not been told of (it came between the wait for events and the connection's turn, or while the process stood still), was closed upon: `Talk::lost` returned at the end of the idle time, and at SIGTERM `graceful_shutdown` closed what hyper took for idle. Seen by a test that lets both come in one moment (SIGSTOP): of 12 idle connections 2 were closed on their request, after SIGTERM 12 of 12 (three runs of each, the same each time).

Change: before either end the socket is asked. What waits there is read first, once; a peer that sends no whole request still has no more than its time.

Measured: both tests pass, with the 22 other crossings; they fail without the change, 3 of 3.

--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -203,7 +203,7 @@
         let connection =
             http1::Builder::new().max_buf_size(HEAD_LIMIT).serve_connection(watched, service);
         tokio::pin!(connection);
-        let lost = talk.lost(|| self.crowded(), &self.crowd);
+        let lost = talk.lost(stream, || self.crowded(), &self.crowd);
         let left = talk.left(stream);
         let time_to_close = self.lifecycle.time_to_close();
         tokio::pin!(lost, left, time_to_close);
@@ -218,7 +218,7 @@
                 () = &mut lost => return Over::Lost,
                 () = &mut left => return Over::Left,
                 () = &mut time_to_close, if !closing => {
-                    if talk.asks_again() {
+                    if talk.asks_again(stream) {
                         // Its answer tells the client to go; closed now, hyper would forget what has come of it.
                         time_to_close.set(self.lifecycle.time_to_close());
                     } else {
--- a/src/bin/hollowpaddle/talk.rs
+++ b/src/bin/hollowpaddle/talk.rs
@@ -37,6 +37,8 @@
 /// The same while nobody reads on it, for its peer's close: nothing may be sent on for a client 0.1 s after it
 /// has gone.
 const LOOK_FOR_CLOSE: Duration = Duration::from_millis(30);
+/// A moment in which the runtime hears of what has come.
+const LOOK_AGAIN: Duration = Duration::from_millis(1);
 /// How long a connection is read on after our end of it is closed, and while others want its place.
 const READ_ON: Duration = Duration::from_millis(500);
 const READ_ON_IN_A_CROWD: Duration = Duration::from_millis(50);
@@ -87,16 +89,23 @@
 
     /// Waits until its peer has had all the time it gets. `crowded` tells whether others want its place, and `crowd`
     /// when they all of a sudden do.
-    pub async fn lost(&self, crowded: impl Fn() -> bool, crowd: &Notify) {
+    pub async fn lost(&self, stream: &Shared, crowded: impl Fn() -> bool, crowd: &Notify) {
+        let mut looked = false;
         loop {
             let now = Instant::now();
             let at = self.limit(crowded()).unwrap_or(now + LOOK);
             if at <= now {
+                // What has come by now is read first, once; that tells whether there is more time.
+                if !std::mem::replace(&mut looked, true) && has_come(stream) {
+                    sleep(LOOK_AGAIN).await;
+                    continue;
+                }
                 if !matches!(self.doing.get(), Doing::Idle(_)) || self.unread.get().is_some() {
                     tracing::info!(doing = ?self.doing.get(), "a client had all its time");
                 }
                 return;
             }
+            looked = false;
             tokio::select! {
                 () = sleep_until(at.min(now + LOOK)) => {}
                 () = crowd.notified() => {}
@@ -110,9 +119,10 @@
         !matches!(self.doing.get(), Doing::Idle(since) if since.elapsed() >= READ_ON / 2)
     }
 
-    /// Whether part of a further request has come.
-    pub fn asks_again(&self) -> bool {
-        self.kept.get() && matches!(self.doing.get(), Doing::Asking(_))
+    /// Whether part of a further request has come, read or not.
+    pub fn asks_again(&self, stream: &Shared) -> bool {
+        let unread = || matches!(self.doing.get(), Doing::Idle(_)) && has_come(stream);
+        self.kept.get() && (matches!(self.doing.get(), Doing::Asking(_)) || unread())
     }
 
     /// Waits until the peer has closed its end while a request of it is served and nobody reads. Has to be polled
@@ -184,6 +194,15 @@
 /// A client's connection, for whoever serves it and whoever looks after it.
 pub type Shared = Rc<RefCell<TokioIo<TcpStream>>>;
 
+/// Whether bytes of the peer wait to be read. Asked directly: what the runtime has seen of the connection may be a
+/// moment old.
+/// Failure: a request that came in the very moment in which its connection had idled for too long, or in which the
+/// process stood still, was closed upon.
+fn has_come(stream: &Shared) -> bool {
+    let stream = stream.borrow();
+    SockRef::from(stream.inner()).peek(&mut [MaybeUninit::uninit()]).is_ok_and(|n| n > 0)
+}
+
 /// Whether the peer has closed its end, or all of the connection; bytes before that may be unread.
 fn has_closed(stream: &TokioIo<TcpStream>) -> bool {
     let stream = stream.inner();
--- a/tests/crossings/mod.rs
+++ b/tests/crossings/mod.rs
@@ -137,6 +137,44 @@
     assert_eq!(upstream.requests_so_far(), answered, "what went on was answered, and nothing else");
 }
 
+/// Sends each of these its request while the process stands still, so that it finds the request and the end of the
+/// connection's time in the same moment; the statuses of the answers.
+fn asked_while_it_stands_still(node: &Node, clients: &mut [Client]) -> Vec<Option<u16>> {
+    node.signal("STOP");
+    clients.iter_mut().for_each(|c| c.send(&read("r2", 6000)));
+    pause(1000);
+    node.signal("CONT");
+    clients.iter_mut().map(|c| c.answer().map(|a| a.status())).collect()
+}
+
+#[test]
+fn a_request_that_has_come_as_the_time_of_its_connection_is_up_is_served() {
+    let upstream = Upstream::start(|_| ok("ok"));
+    // Enough slots for all of them.
+    let many = (0..40).map(|i| member(&format!("s-{i}"), upstream.address, "SERVING")).collect();
+    // More than half of the table: what idles is closed after 2.2 s.
+    let node = scarce(many);
+    let mut clients: Vec<Client> = (0..12).map(|_| node.client()).collect();
+    clients.iter_mut().for_each(|c| assert_eq!(c.ask(&read("r1", 5000)).status(), 200));
+    pause(1600);
+    let answers = asked_while_it_stands_still(&node, &mut clients);
+    assert_eq!(answers, [Some(200); 12], "idle connections");
+}
+
+#[test]
+fn a_request_that_has_come_as_idle_connections_are_closed_at_sigterm_is_served() {
+    let upstream = Upstream::start(|_| ok("ok"));
+    let many = (0..40).map(|i| member(&format!("s-{i}"), upstream.address, "SERVING")).collect();
+    let mut node = Node::start(&config(many));
+    let mut clients: Vec<Client> = (0..12).map(|_| node.client()).collect();
+    clients.iter_mut().for_each(|c| assert_eq!(c.ask(&read("r1", 5000)).status(), 200));
+    node.signal("TERM");
+    pause(100); // It has heard of it; idle connections stay for half a second.
+    let answers = asked_while_it_stands_still(&node, &mut clients);
+    assert_eq!(answers, [Some(200); 12], "after SIGTERM");
+    assert_eq!(node.exit_code(), Some(0));
+}
+
 #[test]
 fn all_that_was_taken_is_answered_before_sigkill_may_come() {
     // One hangs for good; the other takes none that waits for a slot.
