--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -191,7 +191,7 @@
         let connection =
             http1::Builder::new().max_buf_size(HEAD_LIMIT).serve_connection(watched, service);
         tokio::pin!(connection);
-        let lost = talk.lost(|| self.crowded(), &self.crowd);
+        let lost = talk.lost(stream, || self.crowded(), &self.crowd);
         let left = talk.left(stream);
         let time_to_close = self.lifecycle.time_to_close();
         tokio::pin!(lost, left, time_to_close);
@@ -206,7 +206,7 @@
                 () = &mut lost => return Over::Lost,
                 () = &mut left => return Over::Left,
                 () = &mut time_to_close, if !closing => {
-                    if talk.asks_again() {
+                    if talk.asks_again(stream) {
                         // Its answer tells the client to go; closed now, hyper would forget what has come of it.
                         time_to_close.set(self.lifecycle.time_to_close());
                     } else {
@@ -229,6 +229,7 @@
     ) -> Result<Answer, Infallible> {
         let turn = Rc::new(talk.turn());
         let routing = self.engine.routing();
+        let owed = Owed(request.headers().get("x-request-id").cloned());
         let path = request.uri().path();
         let mut answer = if path == "/-/ready" {
             let ready = self.engine.ready() && self.lifecycle.address_served();
@@ -240,6 +241,7 @@
         } else {
             no_route(host(&request), path)
         };
+        owed.answered();
         // Close to the limit, connections are given back so that waiting clients get their turn.
         if !self.lifecycle.serving() || self.open.get() + self.most / 8 >= self.most {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -376,6 +378,23 @@
     answer
 }
 
+/// Names a request whose connection ends before its answer, by the id that its client gave it.
+struct Owed(Option<HeaderValue>);
+
+impl Owed {
+    fn answered(mut self) {
+        self.0 = None;
+    }
+}
+
+impl Drop for Owed {
+    fn drop(&mut self) {
+        if let Some(request) = self.0.as_ref().and_then(|id| id.to_str().ok()) {
+            tracing::info!(request, "its connection ended before its answer");
+        }
+    }
+}
+
 /// Reads what is still to come of a body whose request is answered: its client may look for the answer only
 /// then, and would be reset before.
 /// Failure: refused while they still sent, slow clients were cut off, and never saw that they were.
