SIGHUP before the configuration is read does not end the process

Symptom: 0.5 s after its start, its file not yet written, ends by signal 1 (`SigCgt:`, return code -1). Cause: `main.rs` reads the file first and catches SIGHUP after it; a bank that is told of a new discovery while some of its processes start loses those. Change: the signal is caught first; one that comes while the file is read has it read once more. Before: `a_word_on_discovery_before_the_configuration_is_read_ends_nothing` "caught false"; after: it passes.

--- a/src/bin/hollowpaddle/main.rs
+++ b/src/bin/hollowpaddle/main.rs
@@ -104,15 +104,19 @@
 }
 
 fn start() -> Result<(), Failure> {
-    let config = Config::from_env().map_err(|e| Failure::Config(e.to_string()))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| Failure::Run(format!("runtime: {e}")))?;
-    LocalSet::new().block_on(&runtime, run(config)).map_err(Failure::Run)
+    LocalSet::new().block_on(&runtime, async {
+        // Before the file is read, which may be long: unhandled, the signal ends the program.
+        let hangup = signal(SignalKind::hangup());
+        let hangup = hangup.map_err(|e| Failure::Run(format!("SIGHUP: {e}")))?;
+        let config = Config::from_env().map_err(|e| Failure::Config(e.to_string()))?;
+        run(config, hangup).await.map_err(Failure::Run)
+    })
 }
 
-async fn run(config: Config) -> Result<(), String> {
+async fn run(config: Config, hangup: Signal) -> Result<(), String> {
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
-    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let open = |address| listen(address).map_err(|e| format!("listen on {address}: {e}"));
     let listener = open(config.listen)?;
     let calls = config.management.map(open).transpose()?;
--- a/tests/crossings/takeovers.rs
+++ b/tests/crossings/takeovers.rs
@@ -1,6 +1,7 @@
 //! Processes that follow one another at an address: killed, told to end or started in the moment in which another
 //! relies on them.
 
+use std::process::Stdio;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
 
@@ -163,3 +164,41 @@
         drop(node);
     }
 }
+
+#[test]
+fn a_word_on_discovery_before_the_configuration_is_read_ends_nothing() {
+    let upstream = Upstream::start(|_| ok("ok"));
+    let discovery = Discovery::start();
+    let mut node = Command::new(NODE)
+        .env("LB_LISTEN", "127.0.0.1:0")
+        .env("LB_DISCOVERY", discovery.address.to_string())
+        .env("LB_CONFIG", "/dev/stdin")
+        .env("TMPDIR", env!("CARGO_TARGET_TMPDIR"))
+        .stdin(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    let pid = node.id().to_string();
+    // It waits for its file. The first signal is caught by then, and no earlier one could be.
+    let caught = || {
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("it runs");
+        let mask = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+        u64::from_str_radix(mask.expect("a mask").trim(), 16).expect("a number") & 1 == 1
+    };
+    let from = Instant::now();
+    let mut held = caught();
+    while !held && from.elapsed() < Duration::from_secs(3) {
+        pause(5);
+        held = caught();
+    }
+    let sent = Command::new("kill").args(["-HUP", &pid]).status();
+    assert!(sent.expect("kill runs").success());
+    pause(50);
+    let file = config(members(&[&upstream])).to_string();
+    let written = node.stdin.take().expect("piped").write_all(file.as_bytes());
+    let mut log = BufReader::new(node.stderr.take().expect("piped")).lines();
+    let listens = log.any(|line| line.is_ok_and(|line| line.contains("listening on")));
+    let _ = node.kill();
+    let _ = node.wait();
+    assert!(held && written.is_ok() && listens, "caught {held}, {written:?}, listens {listens}");
+}
