--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -266,7 +266,7 @@
 #[test]
 fn a_table_without_routes_finds_none() {
     let t = table(&[]).unwrap();
-    assert!(t.is_empty() && t.len() == 0);
+    assert_eq!((t.is_empty(), t.len()), (true, 0));
     assert_eq!(t.find_counted("a.b.c", "/x/y/z"), (None, 0));
 }
 
