--- a/benches/balancer.rs
+++ b/benches/balancer.rs
@@ -246,17 +246,23 @@
     let peak = |b: &Bench| memory(b.pid, "VmHWM");
     line("memory, at most by then", "MB", &all.iter().map(peak).collect::<Vec<_>>());
 
-    // What operators and releases read.
-    let (mut cost, mut size) = (Vec::new(), Vec::new());
+    // What operators and releases read, and what it costs the release's controller to take in.
+    let (mut cost, mut size, mut taken) = (Vec::new(), Vec::new(), Vec::new());
     const SCRAPES: usize = 3;
     for (bench, quiet) in all.iter().zip(&quiet) {
-        let (spent, took, bytes) = share(bench.pid, || {
-            let scrape = |_| harness::get(bench.calls, "/metrics", &[]).map_or(0, |a| a.1.len());
-            (0..SCRAPES).map(scrape).max().unwrap_or(0)
+        let (spent, took, text) = share(bench.pid, || {
+            let scrape =
+                |_| harness::get(bench.calls, "/metrics", &[]).map_or_else(String::new, |a| a.1);
+            (0..SCRAPES).map(scrape).max_by_key(String::len).unwrap_or_default()
         });
         cost.push((spent - quiet * took) * 1e3 / SCRAPES as f64);
-        size.push(bytes as f64);
+        size.push(text.len() as f64);
+        let from = Instant::now();
+        let counts = hollowpaddle::release::figures::read(&text).map_or(0, |c| c.len());
+        taken.push(from.elapsed().as_secs_f64() * 1e3);
+        println!("{} members: {counts} counts in a scrape", bench.n);
     }
+    line("a scrape taken in by a release", "ms", &taken);
     line("a scrape of /metrics, processor time", "ms", &cost);
     line("a scrape of /metrics", "B", &size);
     line("memory, at most by then", "MB", &all.iter().map(peak).collect::<Vec<_>>());
