--- a/benches/balancer.rs
+++ b/benches/balancer.rs
@@ -58,7 +58,7 @@
     let text = include_str!("../examples/proxy.json");
     let mut file: Value = serde_json::from_str(text).expect("the example");
     let aim = number("aim", 2000) as f64;
-    file["listen"] = json!("127.0.0.1:0");
+    file["listen"] = json!(free());
     file["management"] = json!(free());
     file["discovery"] = json!(discovery);
     file["limits"] = json!({"memory_mb": 64, "sockets": 1024});
@@ -106,6 +106,7 @@
     list: SocketAddr,
     relay: Relay,
     proxy: usize,
+    config: String,
     pid: u32,
     calls: SocketAddr,
 }
@@ -118,12 +119,12 @@
         let text = file(relay.address, services, tenants);
         let calls = text["management"].as_str().and_then(|a| a.parse().ok()).expect("an address");
         let path = fleet.file(&format!("proxy-{n}-{tenants}.json"), &text.to_string());
-        let path = path.to_str().expect("UTF-8");
+        let config = path.to_str().expect("UTF-8").to_owned();
         let name = format!("proxy-{n}-{tenants}");
-        let proxy = fleet.start(&name, &[], &[("LB_CONFIG", path)]);
+        let proxy = fleet.start(&name, &[], &[("LB_CONFIG", &config)]);
         let pid = fleet.processes[proxy].pid();
         let list = cluster.calls[0];
-        let bench = Self { n, services, list, relay, proxy, pid, calls };
+        let bench = Self { n, services, list, relay, proxy, config, pid, calls };
         until("the whole list", START, || bench.size() == n);
         bench
     }
@@ -268,6 +269,23 @@
     line("memory, at most by then", "MB", &all.iter().map(peak).collect::<Vec<_>>());
     line("memory, then", "MB", &all.iter().map(|b| memory(b.pid, "VmRSS")).collect::<Vec<_>>());
 
+    // Another process takes over, as for any change of what a proxy reads at its start.
+    let mut took: [Vec<f64>; 2] = Default::default();
+    for bench in &all {
+        let (from, calls) = (Instant::now(), free());
+        let env = [("LB_CONFIG", bench.config.as_str()), ("LB_MANAGEMENT", &calls.to_string())];
+        let next = fleet.start(&format!("next-{}", bench.n), &[], &env);
+        until("ready", START, || {
+            harness::get(calls, "/admin/health", &[]).is_some_and(|a| a.0 == 200)
+        });
+        took[0].push(from.elapsed().as_secs_f64() * 1e3);
+        fleet.stop(next);
+        fleet.ended(next, START);
+        took[1].push(from.elapsed().as_secs_f64() * 1e3);
+    }
+    line("a takeover, until ready", "ms", &took[0]);
+    line("a takeover, until one has gone", "ms", &took[1]);
+
     // Members replaced by others: what is left of those that are gone.
     let replaced = number("replaced", 1000);
     let Some(bench) = all.last() else { return };
