--- a/benches/balancer.rs
+++ b/benches/balancer.rs
@@ -100,6 +100,7 @@
 
 /// A list service, a relay that counts, and one proxy.
 struct Bench {
+    fleet: Fleet,
     n: usize,
     services: usize,
     /// Where the list is written.
@@ -112,9 +113,10 @@
 }
 
 impl Bench {
-    fn start(fleet: &mut Fleet, n: usize, upstreams: &[SocketAddr], tenants: usize) -> Self {
+    fn start(n: usize, upstreams: &[SocketAddr], tenants: usize) -> Self {
+        let mut fleet = Fleet::default();
         let services = number("services", 1);
-        let cluster = Cluster::start(fleet, 1, &members(n, upstreams, services));
+        let cluster = Cluster::start(&mut fleet, 1, &members(n, upstreams, services));
         let relay = Relay::to(cluster.lists[0]);
         let text = file(relay.address, services, tenants);
         let calls = text["management"].as_str().and_then(|a| a.parse().ok()).expect("an address");
@@ -124,7 +126,7 @@
         let proxy = fleet.start(&name, &[], &[("LB_CONFIG", &config)]);
         let pid = fleet.processes[proxy].pid();
         let list = cluster.calls[0];
-        let bench = Self { n, services, list, relay, proxy, config, pid, calls };
+        let bench = Self { fleet, n, services, list, relay, proxy, config, pid, calls };
         until("the whole list", START, || bench.size() == n);
         bench
     }
@@ -158,8 +160,7 @@
 fn control(sizes: &[usize]) {
     let mut fleet = Fleet::default();
     let upstreams = stand_ins(&mut fleet);
-    let all: Vec<Bench> =
-        sizes.iter().map(|n| Bench::start(&mut fleet, *n, &upstreams, 0)).collect();
+    let mut all: Vec<Bench> = sizes.iter().map(|n| Bench::start(*n, &upstreams, 0)).collect();
     let at = |figures: &[f64]| -> Vec<(f64, f64)> {
         sizes.iter().zip(figures).map(|(n, y)| (*n as f64, *y)).collect()
     };
@@ -234,7 +235,7 @@
         let from = bench.relay.bytes().1;
         let (spent, took, ()) = share(bench.pid, || {
             for _ in 0..WHOLE {
-                fleet.hang_up(bench.proxy);
+                bench.fleet.hang_up(bench.proxy);
                 sleep(Duration::from_millis(300));
             }
             bench.settled(*quiet);
@@ -295,16 +296,16 @@
 
     // Another process takes over, as for any change of what a proxy reads at its start.
     let mut took: [Vec<f64>; 2] = Default::default();
-    for bench in &all {
+    for bench in &mut all {
         let (from, calls) = (Instant::now(), free());
         let env = [("LB_CONFIG", bench.config.as_str()), ("LB_MANAGEMENT", &calls.to_string())];
-        fleet.start(&format!("next-{}", bench.n), &[], &env);
+        bench.fleet.start(&format!("next-{}", bench.n), &[], &env);
         until("ready", START, || {
             harness::get(calls, "/admin/health", &[]).is_some_and(|a| a.0 == 200)
         });
         took[0].push(from.elapsed().as_secs_f64() * 1e3);
-        fleet.stop(bench.proxy);
-        fleet.ended(bench.proxy, START);
+        bench.fleet.stop(bench.proxy);
+        bench.fleet.ended(bench.proxy, START);
         took[1].push(from.elapsed().as_secs_f64() * 1e3);
     }
     line("a takeover, until ready", "ms", &took[0]);
@@ -409,8 +410,7 @@
 fn requests(sizes: &[usize]) {
     let mut fleet = Fleet::default();
     let upstreams = stand_ins(&mut fleet);
-    let all: Vec<Bench> =
-        sizes.iter().map(|n| Bench::start(&mut fleet, *n, &upstreams, 0)).collect();
+    let all: Vec<Bench> = sizes.iter().map(|n| Bench::start(*n, &upstreams, 0)).collect();
     sleep(Duration::from_secs(1));
     let seconds = number("seconds", 7) as f64;
     let told = |what: &str, (times, bad): &(Vec<f64>, usize), base: Option<f64>| {
@@ -450,7 +450,7 @@
                                 }
                             });
                         }
-                        let at = fleet.address(bench.proxy);
+                        let at = bench.fleet.address(bench.proxy);
                         let driven = drive(at, kept, bench.services, "", seconds);
                         over.store(true, Ordering::Relaxed);
                         driven
@@ -490,12 +490,12 @@
     let seconds = number("seconds", 6) as f64;
     let (mut cost, mut idle, mut size) = (Vec::new(), Vec::new(), Vec::new());
     for tenants in [64, most / 30, most] {
-        let bench = Bench::start(&mut fleet, 64, &upstreams, tenants);
+        let bench = Bench::start(64, &upstreams, tenants);
         sleep(Duration::from_secs(1));
         let (spent, took, ()) = share(bench.pid, || sleep(Duration::from_secs(3)));
         let quiet = spent / took;
         let header = format!("X-Tenant: tenant-{:05}\r\n", tenants - 1);
-        let at = fleet.address(bench.proxy);
+        let at = bench.fleet.address(bench.proxy);
         let (spent, took, (times, bad)) =
             share(bench.pid, || drive(at, true, bench.services, &header, seconds));
         println!("{tenants} tenants: {} answered, {bad} not", times.len());
