--- a/benches/balancer.rs
+++ b/benches/balancer.rs
@@ -78,7 +78,7 @@
         let service = |i| json!({"name": format!("service-{i}"), "settings": settings});
         let route = |i: usize| {
             let (host, service) = (host(i % services), format!("service-{}", i % services));
-            json!({"host": host, "path_prefix": format!("/{}", i / services), "service": service})
+            json!({"host": host, "prefix": format!("/{}", i / services), "service": service})
         };
         file["services"] = (0..services).map(service).collect();
         file["routes"] = (0..number("routes", services)).map(route).collect();
