--- a/benches/balancer.rs
+++ b/benches/balancer.rs
@@ -74,7 +74,11 @@
         file["settings"]["Tenants"] = (0..tenants).map(tenant).collect();
     }
     if services > 1 {
-        let settings = file["settings"].clone();
+        // Each states its classes, and the tenants where there are any; the rest is the balancer's.
+        let mut settings = json!({"Services": file["settings"]["Services"]});
+        if tenants > 0 {
+            settings["Tenants"] = file["settings"]["Tenants"].clone();
+        }
         let service = |i| json!({"name": format!("service-{i}"), "settings": settings});
         let route = |i: usize| {
             let (host, service) = (host(i % services), format!("service-{}", i % services));
