Role: hollow balancers and upstreams, many to a process, for rehearsals of a size

A hollow balancer is the real list client, kept list and module with its timers; a hollow upstream registers and renews by discovery::registration, whose log lines are counted, for it has no other word of its successes. Faults come by calls at its management address: upstreams die, drain, leave, return; balancers drop, return. A digest of the list held tells whether two hold the same.

--- a/src/bin/hollowpaddle/main.rs
+++ b/src/bin/hollowpaddle/main.rs
@@ -68,6 +68,7 @@
         Some(Command::Release(command)) => roles::release(&command).map_err(Failure::from),
         Some(Command::Sweep(args)) => roles::sweep(args).map_err(Failure::from),
         Some(Command::StandIn(args)) => roles::stand_in(args).map_err(Failure::from),
+        Some(Command::Hollow(args)) => roles::hollow(&args).map_err(Failure::from),
         Some(Command::Check(args)) => check(&args),
     };
     let (message, code) = match ended {
@@ -98,6 +99,7 @@
         }
         Role::Discovery => drop(DiscoveryConfig::load(config).map_err(RoleError::from)?),
         Role::Release => drop(Plan::load(config).map_err(RoleError::from)?),
+        Role::Hollow => roles::check_hollow(config)?,
     }
     println!("{}: ok", config.display());
     Ok(())
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -58,6 +58,9 @@
     Sweep(SweepArgs),
     /// A stand-in upstream that answers every request with its own name; for trials and tests.
     StandIn(StandInArgs),
+    /// Hollow balancers and upstreams, many to a process, for rehearsals of a size: the real list client, module and
+    /// registration, without connections of clients or to upstreams. Takes a TOML file (see `examples/hollow.toml`).
+    Hollow(RoleArgs),
     /// Checks a configuration file or a state directory and exits: 0 when it would be taken, 2 with the key or the
     /// offset at fault when not. Of a state directory it prints what it holds.
     Check(CheckArgs),
@@ -180,6 +183,8 @@
     Discovery,
     /// The release: its plan; its state.
     Release,
+    /// Hollow balancers and upstreams: their TOML file; each balancer's last list, as of a proxy.
+    Hollow,
 }
 
 impl Command {
@@ -191,6 +196,7 @@
             Some(Self::Release(_)) => "release",
             Some(Self::Sweep(_)) => "sweep",
             Some(Self::StandIn(_)) => "stand-in",
+            Some(Self::Hollow(_)) => "hollow",
             Some(Self::Check(_)) => "check",
         }
     }
--- /dev/null
+++ b/src/hollow/config.rs
@@ -0,0 +1,207 @@
+//! The TOML file of a process of hollow balancers and upstreams.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use super::upstream::HollowUpstream;
+use crate::configuration::{self, ConfigError};
+use crate::interface::{Class, Settings, Span};
+use crate::lease::table::TTL_MS;
+use crate::settings::Facts;
+
+/// Most balancers, and most upstreams, of one process.
+const MOST: usize = 100_000;
+
+/// `hollow --config FILE`: how many of which, and where the list is.
+#[derive(Debug, Deserialize)]
+pub struct HollowConfig {
+    /// Where operators call, `host:port`; port 0 takes a free one, told as `listening on ADDRESS`.
+    pub management: SocketAddr,
+    /// Everything that is drawn at random comes from it and the number of who draws.
+    #[serde(default)]
+    pub seed: u64,
+    /// Hollow balancers in this process.
+    #[serde(default)]
+    pub balancers: usize,
+    /// Hollow upstreams in this process.
+    #[serde(default)]
+    pub upstreams: usize,
+    /// The number of the first balancer and of the first upstream; processes of one fleet each have their own range.
+    #[serde(default)]
+    pub first: usize,
+    /// Balancers in the whole bank, as the modules are told; as many as here where left out.
+    pub bank: Option<u32>,
+    /// The list service.
+    pub lists: Lists,
+    /// Zones that balancers and upstreams are spread over by number.
+    #[serde(default = "one_zone")]
+    pub zones: Vec<String>,
+    /// Services that the upstreams are spread over by number: names, or how many.
+    #[serde(default)]
+    pub services: Services,
+    /// TTL of the upstreams' registration, in milliseconds; renewed at a third of it.
+    #[serde(default = "ttl_ms")]
+    pub ttl_ms: u64,
+    /// Upstreams start at random moments within this many milliseconds; a third of the TTL where left out, so that
+    /// renewals are spread over time.
+    pub spread_ms: Option<u64>,
+    /// Where each balancer keeps its last list, in a folder of its own; without it nothing is kept.
+    pub state_dir: Option<PathBuf>,
+    /// The configuration file of a proxy, whose `settings` the modules are given; without it one class with an aim of
+    /// 2 s and a deadline of 6 s.
+    pub proxy: Option<PathBuf>,
+}
+
+/// The instances of the list service.
+#[derive(Debug, Deserialize)]
+pub struct Lists {
+    /// Where the list is read and watched: each balancer begins with another of them, by its number.
+    #[serde(default)]
+    pub listen: Vec<SocketAddr>,
+    /// Where upstreams register.
+    #[serde(default)]
+    pub management: Vec<SocketAddr>,
+}
+
+/// Services by name, or `service-0` to as many as there are.
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+pub enum Services {
+    /// How many.
+    Count(usize),
+    /// Their names.
+    Names(Vec<String>),
+}
+
+impl Default for Services {
+    fn default() -> Self {
+        Self::Count(1)
+    }
+}
+
+impl Services {
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        match self {
+            Self::Count(n) => *n,
+            Self::Names(names) => names.len(),
+        }
+    }
+
+    /// The name of the service with this number, counted round.
+    pub fn name(&self, number: usize) -> String {
+        match self {
+            Self::Count(n) => format!("service-{}", number % (*n).max(1)),
+            Self::Names(names) => {
+                names.get(number % names.len().max(1)).cloned().unwrap_or_default()
+            }
+        }
+    }
+}
+
+fn one_zone() -> Vec<String> {
+    vec!["a".to_owned()]
+}
+fn ttl_ms() -> u64 {
+    10_000
+}
+
+/// The part of a proxy's configuration file that is read here.
+#[derive(Deserialize)]
+struct Proxy {
+    settings: Facts,
+}
+
+impl HollowConfig {
+    /// Reads and checks the file.
+    ///
+    /// # Errors
+    /// What [`configuration::load`] refuses, and [`ConfigError::Invalid`] for a process of nobody or of more than
+    /// 100,000, one without a list service to talk to, no zones or services, and a TTL out of its range.
+    pub fn load(path: &Path) -> Result<Self, ConfigError> {
+        let config: Self = configuration::load(path)?;
+        config
+            .fault()
+            .map_or(Ok(config), |(key, cause)| Err(ConfigError::invalid(path, key, cause)))
+    }
+
+    fn fault(&self) -> Option<(&'static str, &'static str)> {
+        if self.balancers + self.upstreams == 0 {
+            return Some(("balancers", "neither balancers nor upstreams"));
+        }
+        for (key, count) in [("balancers", self.balancers), ("upstreams", self.upstreams)] {
+            if count > MOST {
+                return Some((key, "100000 at most"));
+            }
+        }
+        if self.balancers > 0 && self.lists.listen.is_empty() {
+            return Some(("lists.listen", "balancers have to read the list somewhere"));
+        }
+        if self.upstreams > 0 && self.lists.management.is_empty() {
+            return Some(("lists.management", "upstreams have to register somewhere"));
+        }
+        if self.zones.is_empty() {
+            return Some(("zones", "at least one"));
+        }
+        if self.services.count() == 0 {
+            return Some(("services", "at least one"));
+        }
+        let named = |number| HollowUpstream {
+            number,
+            zone: String::new(),
+            service: self.services.name(number),
+        };
+        let names = if let Services::Names(names) = &self.services { names.len() } else { 0 };
+        if let Some((_, cause)) = (0..names).find_map(|n| named(n).member(0).fault()) {
+            return Some(("services", cause));
+        }
+        if !TTL_MS.contains(&self.ttl_ms) {
+            return Some(("ttl_ms", "50 to 3600000"));
+        }
+        None
+    }
+
+    /// TTL of the upstreams.
+    pub fn ttl(&self) -> Duration {
+        Duration::from_millis(self.ttl_ms)
+    }
+
+    /// The time that starts of upstreams are spread over.
+    pub fn spread(&self) -> Duration {
+        Duration::from_millis(self.spread_ms.unwrap_or(self.ttl_ms / 3))
+    }
+
+    /// What each module is told, but for its own number and zone.
+    ///
+    /// # Errors
+    /// [`ConfigError`] where `proxy` can't be read, or has no settings that a balancer takes.
+    pub fn settings(&self) -> Result<Settings, ConfigError> {
+        let mut settings = match &self.proxy {
+            None => Settings::basic(vec![Class::safe(Span(2_000_000), Span(6_000_000))]),
+            Some(path) => {
+                let text = std::fs::read(path)
+                    .map_err(|source| ConfigError::Unreadable { path: path.clone(), source })?;
+                let mut reader = serde_json::Deserializer::from_slice(&text);
+                let proxy: Proxy = serde_path_to_error::deserialize(&mut reader).map_err(|e| {
+                    let key = e.path().to_string();
+                    let cause = e.into_inner().to_string();
+                    ConfigError::Malformed { path: path.clone(), key, cause }
+                })?;
+                proxy.settings.settings()
+            }
+        };
+        settings.balancers = self.bank.unwrap_or(self.balancers as u32);
+        settings.zones = self.zones.len() as u32;
+        let refused = |e: crate::interface::SettingsError| match &self.proxy {
+            Some(path) => ConfigError::invalid(path, "settings", e.to_string()),
+            None => ConfigError::invalid(Path::new("-"), "settings", e.to_string()),
+        };
+        settings.checked().map_err(refused)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,8 +5,8 @@
 //!
 //! Beside the proxy the same program runs other roles, each a module here that the binary only wires up:
 //! the list service ([`discovery`]) on its replicated state ([`replica`]) and durable store ([`store`]), duties
-//! that one process holds at a time ([`lease`]), staged releases ([`release`]) and a stand-in upstream
-//! ([`stand_in`]). [`cli`], [`configuration`], [`logging`], [`figures`] and [`calls`] are shared by all of them.
+//! that one process holds at a time ([`lease`]), staged releases ([`release`]), a stand-in upstream
+//! ([`stand_in`]) and hollow balancers and upstreams for rehearsals ([`hollow`]). [`cli`], [`configuration`], [`logging`], [`figures`] and [`calls`] are shared by all of them.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -15,6 +15,7 @@
 pub mod configuration;
 pub mod discovery;
 pub mod figures;
+pub mod hollow;
 pub mod interface;
 pub mod lease;
 pub mod logging;
--- a/src/roles/mod.rs
+++ b/src/roles/mod.rs
@@ -12,7 +12,7 @@
 use tokio::task::LocalSet;
 
 use crate::calls::instances::Instances;
-use crate::cli::{DiscoveryArgs, ReleaseCommand, Role, StandInArgs, SweepArgs};
+use crate::cli::{DiscoveryArgs, ReleaseCommand, Role, RoleArgs, StandInArgs, SweepArgs};
 use crate::configuration::ConfigError;
 use crate::discovery::config::DiscoveryConfig;
 use crate::discovery::keeper;
@@ -21,6 +21,8 @@
 use crate::discovery::registration;
 use crate::discovery::server::ListService;
 use crate::discovery::sweep;
+use crate::hollow::config::HollowConfig;
+use crate::hollow::driver::{Hollow, HollowError};
 use crate::release::control;
 use crate::release::controller::{State, Step};
 use crate::release::driver::Release;
@@ -192,6 +194,34 @@
     })
 }
 
+/// `check --role hollow`: reads the file, and what it names, as the role would.
+///
+/// # Errors
+/// [`RoleError::Config`].
+pub fn check_hollow(path: &Path) -> Result<(), RoleError> {
+    HollowConfig::load(path)?.settings()?;
+    Ok(())
+}
+
+/// `hollow`: hollow balancers and upstreams.
+///
+/// # Errors
+/// [`RoleError`] where it can't start.
+pub fn hollow(args: &RoleArgs) -> Result<(), RoleError> {
+    let config = HollowConfig::load(&args.config)?;
+    run(async move {
+        let descriptors = crate::calls::raise_descriptors();
+        tracing::info!(descriptors, "each balancer takes one, and each call of an upstream");
+        let address = config.management;
+        let hollow = Hollow::new(config).map_err(|e| match e {
+            HollowError::Config(error) => RoleError::Config(error),
+            HollowError::Lists(error) => RoleError::Refused(error.to_string()),
+        })?;
+        let (listener, _) = listen(address).await?;
+        until_stopped(hollow.serve(listener)).await.map(drop)
+    })
+}
+
 /// `sweep`: the duty of that name, and what it is for.
 ///
 /// # Errors
@@ -246,7 +276,7 @@
 /// # Errors
 /// What is wrong with it, with the file and the offset.
 pub fn check_state(role: Role, dir: &Path) -> Result<String, String> {
-    if role == Role::Proxy {
+    if matches!(role, Role::Proxy | Role::Hollow) {
         let list = keeper::read(dir).map_err(|e| e.to_string())?;
         return Ok(match list {
             Some(list) => {
