--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -296,16 +296,27 @@
 impl Cluster {
     /// Starts `n` instances with these lines in the file of each, and waits until one leads and all can be read.
     pub fn start(fleet: &mut Fleet, n: usize, extra: &str) -> Self {
+        Self::start_routed(fleet, n, extra, &mut |_, _, at| at)
+    }
+
+    /// The same, where instance `from` reaches the `management` address of instance `to` by what `route(from, to,
+    /// address)` says; its own address has to stay as it is.
+    pub fn start_routed(
+        fleet: &mut Fleet,
+        n: usize,
+        extra: &str,
+        route: &mut dyn FnMut(usize, usize, SocketAddr) -> SocketAddr,
+    ) -> Self {
         let lists: Vec<_> = (0..n).map(|_| free()).collect();
         let calls: Vec<_> = (0..n).map(|_| free()).collect();
         let dirs: Vec<_> = (0..n).map(|i| fleet.folder(&format!("state-{i}"))).collect();
-        let peers: String = calls
-            .iter()
-            .enumerate()
-            .map(|(i, at)| format!("[[peers]]\nid = {}\nmanagement = \"{at}\"\n", i + 1))
-            .collect();
         let mut at = Vec::new();
         for i in 0..n {
+            let peer = |(to, at): (usize, &SocketAddr)| {
+                let at = route(i, to, *at);
+                format!("[[peers]]\nid = {}\nmanagement = \"{at}\"\n", to + 1)
+            };
+            let peers: String = calls.iter().enumerate().map(peer).collect();
             let text = format!(
                 "id = {}\nlisten = \"{}\"\nmanagement = \"{}\"\nstate_dir = \"{}\"\n{extra}\n{}",
                 i + 1,
