--- /dev/null
+++ b/benches/scale.rs
@@ -0,0 +1,496 @@
+//! The fleet at its size in hollow processes: `cargo bench --bench scale -- --size 1/16,1/4,1`.
+//!
+//! Of the whole size (1): 400 balancers, 6,100 upstreams with TTL in 210 services, five instances of the list service in
+//! two regions (three and two) with a link between, through a quiet time, single changes, a leader killed, a zone gone
+//! and back, all balancers back at once, a process of balancers stopped and gone on, and the regions apart. Each phase
+//! prints what a balancer paid beside its budget; several sizes in one run print the slopes.
+//!
+//! Sizes before the last play only what the slopes need. `--ttl-ms` sets the TTL of the upstreams (12000),
+//! `--spread-ms` the time within which they start (a third of that); `--phases` names the phases to play after the start: quiet, changes, leader, zone, herd, stopped, apart.
+
+#[path = "../tests/harness/mod.rs"]
+#[allow(dead_code)]
+mod harness;
+#[path = "../tests/rehearsal/mod.rs"]
+#[allow(dead_code)]
+mod rehearsal;
+
+use std::collections::{HashSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle, sleep};
+use std::time::{Duration, Instant};
+
+use harness::{Cluster, Fleet, look, until};
+use rehearsal::relay::Link;
+use rehearsal::{Counts, Region, Rehearsal, Size, ZONES};
+
+/// What the operators allow: the newest revision everywhere, in seconds; of a balancer's control: share of a core in
+/// percent, MB, and bytes a second.
+const ALLOWED_SECONDS: f64 = 13.0;
+const ALLOWED_CORE: f64 = 1.0;
+const ALLOWED_MB: f64 = 64.0;
+const ALLOWED_BYTES: f64 = 3000.0;
+/// For each wait.
+const WITHIN: Duration = Duration::from_secs(240);
+const QUIET: Duration = Duration::from_secs(20);
+const CHANGES: usize = 50;
+/// Phases that sizes before the last play.
+const FOR_SLOPES: &str = "quiet,changes,herd";
+/// Instances, and those of them in the first region.
+const INSTANCES: usize = 5;
+const FIRST: usize = 3;
+
+/// Compares what is newest at the list service with the lowest of all balancers ten times a second.
+struct Watcher {
+    state: Arc<Mutex<Watched>>,
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+#[derive(Default)]
+struct Watched {
+    /// Processes of balancers that are compared.
+    balancers: Vec<SocketAddr>,
+    waiting: VecDeque<(Instant, u64)>,
+    newest: u64,
+    worst: Duration,
+}
+
+impl Watcher {
+    fn start(services: Vec<SocketAddr>, balancers: Vec<SocketAddr>) -> Self {
+        let state = Arc::new(Mutex::new(Watched { balancers, ..Watched::default() }));
+        let stop = Arc::new(AtomicBool::new(false));
+        let (shared, stopped) = (state.clone(), stop.clone());
+        let thread = thread::spawn(move || {
+            while !stopped.load(Ordering::Relaxed) {
+                let seen = Instant::now();
+                let newest = |at| look(at, "/admin/stats")["revision"].as_u64().unwrap_or(0);
+                let newest = services.iter().map(|at| newest(*at)).max().unwrap_or(0);
+                let balancers = shared.lock().expect("a state").balancers.clone();
+                let lowest = |at| look(at, "/admin/stats")["balancers"]["lowest_revision"].as_u64();
+                // A process without running balancers says 0: it has nobody who waits.
+                let lowest = balancers.iter().filter_map(|at| lowest(*at)).filter(|r| *r > 0).min();
+                let mut state = shared.lock().expect("a state");
+                if newest > state.newest {
+                    state.newest = newest;
+                    state.waiting.push_back((seen, newest));
+                }
+                while let Some((since, revision)) = state.waiting.front().copied() {
+                    if lowest.is_none_or(|lowest| lowest < revision) {
+                        break;
+                    }
+                    state.waiting.pop_front();
+                    state.worst = state.worst.max(since.elapsed());
+                }
+                if let Some((since, _)) = state.waiting.front() {
+                    state.worst = state.worst.max(since.elapsed());
+                }
+                drop(state);
+                sleep(Duration::from_millis(100));
+            }
+        });
+        Self { state, stop, thread: Some(thread) }
+    }
+
+    /// Compares these from now on.
+    fn compare(&self, balancers: Vec<SocketAddr>) {
+        let mut state = self.state.lock().expect("a state");
+        (state.balancers, state.waiting) = (balancers, VecDeque::new());
+    }
+
+    fn worst(&self) -> Duration {
+        std::mem::take(&mut self.state.lock().expect("a state").worst)
+    }
+}
+
+impl Drop for Watcher {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Processor time of a process in seconds, and its resident memory in MB, as the system tells.
+fn process(pid: u32) -> (f64, f64) {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let after = stat.rsplit_once(')').map_or("", |(_, rest)| rest);
+    let ticks: f64 =
+        after.split_whitespace().skip(11).take(2).filter_map(|t| t.parse::<f64>().ok()).sum();
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let resident = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    let kib = resident.and_then(|l| l.split_whitespace().next()?.parse::<f64>().ok());
+    (ticks / 100.0, kib.unwrap_or(0.0) / 1024.0)
+}
+
+/// What is counted, at one moment.
+struct Mark {
+    at: Instant,
+    counts: Vec<Counts>,
+    /// Of each process of balancers.
+    balancers: Vec<(f64, f64)>,
+    /// Of each instance.
+    instances: Vec<(f64, f64)>,
+    revision: u64,
+    failed: u64,
+    registrations: u64,
+}
+
+impl Mark {
+    fn take(r: &Rehearsal) -> Self {
+        let of = |all: &[usize]| all.iter().map(|i| process(r.fleet.processes[*i].pid())).collect();
+        let calls = |key: &str| -> u64 {
+            let of = |i: &usize| look(r.fleet.address(*i), "/admin/stats");
+            let of = |i| of(i)["upstreams"]["calls"][key].as_u64().unwrap_or(0);
+            r.upstreams.iter().map(of).sum()
+        };
+        Self {
+            at: Instant::now(),
+            counts: r.counts(),
+            balancers: of(&r.balancers),
+            instances: of(&r.cluster.at),
+            revision: r.newest(),
+            failed: calls("failed_renewals") + calls("failed_registrations"),
+            registrations: calls("registrations"),
+        }
+    }
+}
+
+/// What one phase cost a balancer.
+#[derive(Clone, Debug, Default)]
+struct Cost {
+    revisions: f64,
+    /// Percent of a core, mean over all and largest of a process's mean.
+    core: (f64, f64),
+    mb: (f64, f64),
+    bytes_a_second: (f64, f64),
+    bytes: f64,
+    module_us: (f64, f64),
+    process_us: f64,
+    whole_lists: f64,
+    instance_core: f64,
+}
+
+fn mean_and_largest(values: impl Iterator<Item = f64>) -> (f64, f64) {
+    let all: Vec<f64> = values.collect();
+    (all.iter().sum::<f64>() / all.len().max(1) as f64, all.iter().fold(0.0, |a, b| a.max(*b)))
+}
+
+/// Ends a phase: waits until all are level, prints what it cost.
+fn phase(what: &str, r: &Rehearsal, watcher: &Watcher, from: &Mark, why: &str) -> Cost {
+    let (list, level) = r.level(WITHIN);
+    let (now, worst) = (Mark::take(r), watcher.worst());
+    let seconds = (now.at - from.at).as_secs_f64();
+    let each = r.size.balancers as f64 / r.size.balancer_processes as f64;
+    let counts: Vec<Counts> =
+        now.counts.iter().zip(&from.counts).map(|(n, f)| n.since(f)).collect();
+    let of = |of: fn(&Counts) -> u64| mean_and_largest(counts.iter().map(|c| of(c) as f64));
+    let pairs = now.balancers.iter().zip(&from.balancers);
+    let spent: Vec<f64> = pairs.map(|(n, f)| (n.0 - f.0).max(0.0)).collect();
+    let core = mean_and_largest(spent.iter().map(|s| 100.0 * s / seconds / each));
+    let mb = mean_and_largest(now.balancers.iter().map(|p| p.1 / each));
+    let bytes = of(|c| c.bytes);
+    // One that was started anew counts from nothing.
+    let pairs = now.instances.iter().zip(&from.instances);
+    let instances: Vec<f64> =
+        pairs.map(|(n, f)| 100.0 * (n.0 - if n.0 < f.0 { 0.0 } else { f.0 }) / seconds).collect();
+    let cost = Cost {
+        revisions: (now.revision - from.revision) as f64,
+        core,
+        mb,
+        bytes_a_second: (bytes.0 / seconds, bytes.1 / seconds),
+        bytes: bytes.0,
+        module_us: of(|c| c.module_us),
+        process_us: 1e6 * spent.iter().sum::<f64>() / r.size.balancers as f64,
+        whole_lists: of(|c| c.whole_lists).0,
+        instance_core: instances.iter().fold(0.0, |a, b| a.max(*b)),
+    };
+    let back: u64 = now.counts.iter().map(|c| c.went_back).sum();
+    let beside = |value: f64, allowed: f64| {
+        format!("{value:.3} ({}{allowed})", if value <= allowed { "of " } else { "OVER " })
+    };
+    println!(
+        "{what}: {seconds:.1} s, {} members, {} revisions; {why}",
+        list.members.len(),
+        cost.revisions
+    );
+    println!(
+        "  last balancer has the newest revision after {} s at worst; level {:.2} s after the end; went back {back}",
+        beside(worst.as_secs_f64(), ALLOWED_SECONDS),
+        level.as_secs_f64()
+    );
+    println!(
+        "  a balancer: bytes/s mean {} largest {}; messages {:.1}/{:.0}, entries {:.1}, whole lists {:.2}, bytes {:.0}/{:.0}",
+        beside(cost.bytes_a_second.0, ALLOWED_BYTES),
+        beside(cost.bytes_a_second.1, ALLOWED_BYTES),
+        of(|c| c.messages).0,
+        of(|c| c.messages).1,
+        of(|c| c.entries).0,
+        cost.whole_lists,
+        bytes.0,
+        bytes.1,
+    );
+    println!(
+        "  a balancer: core % mean {} largest process {}; module ms {:.2}/{:.2} of {:.2}, longest call so far {:.2}; MB mean {} largest {}",
+        beside(core.0, ALLOWED_CORE),
+        beside(core.1, ALLOWED_CORE),
+        cost.module_us.0 / 1000.0,
+        cost.module_us.1 / 1000.0,
+        cost.process_us / 1000.0,
+        of(|c| c.module_longest_us).1 / 1000.0,
+        beside(mb.0, ALLOWED_MB),
+        beside(mb.1, ALLOWED_MB),
+    );
+    println!(
+        "  instances: core % {:?}, MB {:?}; registrations {}, calls of upstreams that failed {}",
+        instances.iter().map(|c| (c * 10.0).round() / 10.0).collect::<Vec<_>>(),
+        now.instances.iter().map(|p| p.1.round()).collect::<Vec<_>>(),
+        now.registrations - from.registrations,
+        now.failed - from.failed,
+    );
+    assert_eq!(back, 0, "{what}: revisions went back");
+    cost
+}
+
+/// What one size showed, for the slopes.
+struct Shown {
+    members: f64,
+    quiet: Cost,
+    changes: Cost,
+    herd: Cost,
+}
+
+fn play(share: f64, (ttl_ms, spread_ms): (u64, u64), wanted: &dyn Fn(&str) -> bool) -> Shown {
+    let processes = if share > 0.5 { 10 } else { 5 };
+    let whole = |n: f64| ((n * share / processes as f64).round().max(1.0) as usize) * processes;
+    let size = Size {
+        balancers: whole(400.0),
+        balancer_processes: processes,
+        upstreams: whole(6100.0),
+        upstream_processes: processes,
+        services: ((210.0 * share) as usize).max(1),
+        ttl_ms,
+        spread_ms,
+    };
+    println!("\n== {size:?}, {INSTANCES} instances");
+    let link = Link::new();
+    let mut fleet = Fleet::default();
+    let region = |i: usize| usize::from(i >= FIRST);
+    let cluster = Cluster::start_routed(&mut fleet, INSTANCES, "", &mut |from, to, at| {
+        if region(from) == region(to) { at } else { link.relay(at) }
+    });
+    let view = |mine: usize, zones: &[&'static str]| {
+        let route = |(i, at): (usize, &SocketAddr)| {
+            if region(i) == mine { *at } else { link.relay(*at) }
+        };
+        let lists = cluster.lists.iter().enumerate().map(route).collect();
+        // An instance of the other region would name the leader by an address that passes the link by.
+        let own = cluster.calls.iter().enumerate().filter(|(i, _)| region(*i) == mine);
+        let calls = own.map(|(_, at)| *at).collect();
+        Region { zones: zones.to_vec(), lists, calls }
+    };
+    let (first, second) = (view(0, &ZONES[..FIRST]), view(1, &ZONES[FIRST..]));
+    // Three processes of five are in the first region.
+    let regions = vec![first.clone(), second.clone(), first.clone(), second, first];
+    let mut r = Rehearsal::start_in(fleet, cluster, size, regions);
+    let addresses = |r: &Rehearsal, of: &dyn Fn(usize) -> bool| -> Vec<SocketAddr> {
+        let kept = r.balancers.iter().enumerate().filter(|(i, _)| of(*i));
+        kept.map(|(_, at)| r.fleet.address(*at)).collect()
+    };
+    let watcher = Watcher::start(r.cluster.calls.clone(), addresses(&r, &|_| true));
+    let all = size.upstreams;
+    let mut acknowledged: Vec<String> = Vec::new();
+    let mut change = |r: &Rehearsal, n: usize, pace: u64| {
+        for _ in 0..n {
+            let id = format!("x-{}", acknowledged.len());
+            r.register(&id, WITHIN);
+            acknowledged.push(id);
+            sleep(Duration::from_millis(pace));
+        }
+        acknowledged.len()
+    };
+
+    let from = Mark::take(&r);
+    for _ in 0..size.upstream_processes {
+        r.more_upstreams(size.upstreams / size.upstream_processes);
+    }
+    let took = until("all are in the list", WITHIN, || r.members() == all);
+    phase("start from nothing", &r, &watcher, &from, &format!("all in the list after {took:.1?}"));
+
+    let (mut quiet, mut changes, mut herd) = Default::default();
+    if wanted("quiet") {
+        let from = Mark::take(&r);
+        sleep(QUIET);
+        quiet = phase("quiet", &r, &watcher, &from, "renewals only");
+    }
+    if wanted("changes") {
+        let from = Mark::take(&r);
+        change(&r, CHANGES, 100);
+        changes = phase("single changes", &r, &watcher, &from, "ten a second");
+    }
+    if wanted("leader") {
+        let from = Mark::take(&r);
+        let leader = r.leader(None, WITHIN);
+        r.fleet.kill(r.cluster.at[leader]);
+        let killed = Instant::now();
+        r.leader(Some(leader), WITHIN);
+        let led = killed.elapsed();
+        change(&r, 20, 20);
+        r.fleet.restart(r.cluster.at[leader]);
+        r.fleet.ready(r.cluster.at[leader]);
+        sleep(Duration::from_millis(2 * ttl_ms));
+        let why = format!("instance {} killed, another led after {led:.2?}", leader + 1);
+        phase("a leader killed", &r, &watcher, &from, &why);
+    }
+    if wanted("zone") {
+        let from = Mark::take(&r);
+        let before = r.members();
+        let dropped = r.order("balancers", "{\"do\":\"drop\",\"zone\":\"b\"}");
+        let dead = r.order("upstreams", "{\"do\":\"die\",\"zone\":\"b\"}") as usize;
+        let gone = until("the zone is gone", WITHIN, || r.members() == before - dead);
+        let back = Instant::now();
+        r.order("upstreams", "{\"do\":\"return\",\"zone\":\"b\"}");
+        r.order("balancers", "{\"do\":\"return\",\"zone\":\"b\"}");
+        until("the zone is back", WITHIN, || r.members() == before);
+        let why = format!(
+            "{dead} upstreams and {dropped} balancers; out of the list after {gone:.1?}, in again after {:.1?}",
+            back.elapsed()
+        );
+        phase("a zone gone and back", &r, &watcher, &from, &why);
+    }
+    if wanted("herd") {
+        let from = Mark::take(&r);
+        r.order("balancers", "{\"do\":\"drop\"}");
+        sleep(Duration::from_secs(1));
+        let back = Instant::now();
+        r.order("balancers", "{\"do\":\"return\"}");
+        let newest = r.newest();
+        until("all hold a list", WITHIN, || r.lowest(&r.balancers) >= newest);
+        let why = format!("the last holds the list after {:.2?}", back.elapsed());
+        herd = phase("all balancers back at once", &r, &watcher, &from, &why);
+    }
+    if wanted("stopped") {
+        let from = Mark::take(&r);
+        watcher.compare(addresses(&r, &|i| i != 0));
+        r.fleet.pause(r.balancers[0]);
+        change(&r, CHANGES, 100);
+        sleep(Duration::from_secs(10));
+        r.fleet.resume(r.balancers[0]);
+        let (on, newest) = (Instant::now(), r.newest());
+        until("it follows", WITHIN, || r.lowest(&r.balancers) >= newest);
+        watcher.compare(addresses(&r, &|_| true));
+        let why = format!("15 s; its last balancer level {:.2?} after it went on", on.elapsed());
+        phase("a process of balancers stopped", &r, &watcher, &from, &why);
+    }
+    if wanted("apart") {
+        let from = Mark::take(&r);
+        let before = r.members();
+        watcher.compare(addresses(&r, &|i| i % 5 % 2 == 0));
+        link.part();
+        // The first region has the majority.
+        let near = |r: &Rehearsal| {
+            (0..FIRST).any(|i| look(r.cluster.calls[i], "/admin/health")["leads"] == true)
+        };
+        let led = until("the first region leads", WITHIN, || near(&r));
+        r.leader(None, WITHIN);
+        change(&r, 20, 20);
+        sleep(Duration::from_millis(3 * ttl_ms));
+        let first = harness::get(r.cluster.calls[0], "/admin/members", &[]).expect("a list").1;
+        let apart = hollowpaddle::discovery::member::Message::read(first.as_bytes());
+        let apart = apart.expect("a list").members.len();
+        let held = r.counts().iter().map(|c| c.members).min().unwrap_or(0);
+        link.join();
+        let joined = Instant::now();
+        until("all are in the list", WITHIN, || r.members() == before + 20);
+        let newest = r.newest();
+        until("all follow", WITHIN, || r.lowest(&r.balancers) >= newest);
+        let joined = joined.elapsed();
+        watcher.compare(addresses(&r, &|_| true));
+        let why = format!(
+            "{} s, the first region led after {led:.2?}, its list fell to {apart} of {before}, the least that a balancer \
+             held {held}; level {joined:.1?} after they were joined",
+            3 * ttl_ms / 1000
+        );
+        phase("regions apart", &r, &watcher, &from, &why);
+    }
+    let (list, _) = r.level(WITHIN);
+    let ids: HashSet<&str> = list.members.iter().map(|m| m.id.as_str()).collect();
+    let lost = acknowledged.iter().filter(|id| !ids.contains(id.as_str())).count();
+    let upstreams = ids.iter().filter(|id| id.starts_with("u-")).count();
+    println!(
+        "acknowledged and not in the list: {lost} of {}; upstreams in the list: {upstreams} of {all}",
+        acknowledged.len()
+    );
+    assert_eq!((lost, upstreams), (0, all));
+    Shown { members: list.members.len() as f64, quiet, changes, herd }
+}
+
+/// Least squares: constant and slope.
+fn fit(points: &[(f64, f64)]) -> (f64, f64) {
+    let n = points.len() as f64;
+    let (x, y) = points.iter().fold((0.0, 0.0), |(a, b), (x, y)| (a + x / n, b + y / n));
+    let over: f64 = points.iter().map(|p| (p.0 - x) * (p.1 - y)).sum();
+    let under: f64 = points.iter().map(|p| (p.0 - x) * (p.0 - x)).sum();
+    let slope = if under > 0.0 { over / under } else { 0.0 };
+    (y - slope * x, slope)
+}
+
+fn slopes(shown: &[Shown]) {
+    println!(
+        "\n== slopes over members (least squares), and each size as a multiple of the smallest"
+    );
+    type Of = fn(&Shown) -> f64;
+    let rows: [(&str, Of); 8] = [
+        ("quiet, core % of a balancer", |s| s.quiet.core.0),
+        ("quiet, bytes/s of a balancer", |s| s.quiet.bytes_a_second.0),
+        ("quiet, core % of the busiest instance", |s| s.quiet.instance_core),
+        ("memory, MB of a balancer", |s| s.quiet.mb.0),
+        ("a change, bytes to a balancer", |s| s.changes.bytes / s.changes.revisions.max(1.0)),
+        ("a change, us of a balancer's module", |s| {
+            s.changes.module_us.0 / s.changes.revisions.max(1.0)
+        }),
+        ("a balancer back, bytes", |s| s.herd.bytes),
+        ("a balancer back, us of its module", |s| s.herd.module_us.0),
+    ];
+    for (what, of) in rows {
+        let points: Vec<_> = shown.iter().map(|s| (s.members, of(s))).collect();
+        let (constant, slope) = fit(&points);
+        let ratios: Vec<String> =
+            points.iter().map(|p| format!("{:.2}", p.1 / points[0].1)).collect();
+        let values: Vec<String> = points.iter().map(|p| format!("{:.3}", p.1)).collect();
+        println!("{what}: {constant:.4} + {slope:.6} x members; {values:?}, {ratios:?}");
+    }
+}
+
+fn share(text: &str) -> f64 {
+    let (over, under) = text.split_once('/').unwrap_or((text, "1"));
+    over.parse::<f64>().expect("a size") / under.parse::<f64>().expect("a size")
+}
+
+fn main() {
+    let args: Vec<String> = std::env::args().collect();
+    let after = |key: &str| {
+        let at = args.iter().position(|a| a == key)?;
+        args.get(at + 1).cloned()
+    };
+    let sizes = after("--size").unwrap_or_else(|| "1/16,1/4,1".to_owned());
+    let ttl_ms = after("--ttl-ms").map_or(12_000, |t| t.parse().expect("milliseconds"));
+    let spread_ms = after("--spread-ms").map_or(ttl_ms / 3, |t| t.parse().expect("milliseconds"));
+    let phases = after("--phases");
+    let among = |all: &str, phase: &str| all.split(',').any(|p| p == phase);
+    let last = sizes.split(',').count() - 1;
+    let play = |(i, size): (usize, &str)| {
+        let wanted = |phase: &str| match &phases {
+            Some(all) => among(all, phase),
+            None => i == last || among(FOR_SLOPES, phase),
+        };
+        play(share(size), (ttl_ms, spread_ms), &wanted)
+    };
+    let shown: Vec<Shown> = sizes.split(',').enumerate().map(play).collect();
+    if shown.len() > 1 {
+        slopes(&shown);
+    }
+}
