Hollow balancers follow the whole list by the client's filter

Cause: the list client takes a filter now, and the hollow role was made beside it. Change: it passes Filter::all(), as before.

--- a/src/hollow/driver.rs
+++ b/src/hollow/driver.rs
@@ -37,6 +37,7 @@
 use crate::calls::{self, Call, LIMIT, Reply, error, say};
 use crate::configuration::ConfigError;
 use crate::discovery::client::{self, News};
+use crate::discovery::filter::Filter;
 use crate::discovery::follow::{Follow, Mode};
 use crate::discovery::keeper::Keeper;
 use crate::discovery::member::Message;
@@ -255,7 +256,8 @@
             let figures = counted.clone();
             async move { Ok(Counted { stream: client::connect(address).await?, figures }) }
         };
-        let client = client::run(follow, connect, ordered, move |news| drop(tell.send(news)));
+        let tell = move |news| drop(tell.send(news));
+        let client = client::run(follow, Filter::all(), connect, ordered, tell);
         let _client = AbortOnDrop(tokio::task::spawn_local(client));
         loop {
             let due = balancer.due().map(|due| self.clock.instant(due));
