--- a/src/services/mod.rs
+++ b/src/services/mod.rs
@@ -200,6 +200,7 @@
         let Some(slot) = self.slots.get_mut(service.0 as usize) else { return };
         let Some(balancer) = &mut slot.balancer else { return };
         let from = out.len();
+        let told = matches!(event, Event::Members { kind: ListKind::Whole | ListKind::Update, .. });
         match &event {
             Event::Members { kind, .. } => {
                 slot.awake_until = now.plus(slot.close_within);
@@ -227,7 +228,8 @@
                     slot.resting = Some(token);
                     out.remove(at);
                 }
-                Action::Subscribe if !asks => drop(out.remove(at)),
+                // What is told now need not be asked for by the tick that it woke.
+                Action::Subscribe if !asks || told => drop(out.remove(at)),
                 _ => at += 1,
             }
         }
--- a/src/services/tests.rs
+++ b/src/services/tests.rs
@@ -313,3 +313,16 @@
     let expect = Narrowed { changed: false, whole: true };
     assert_eq!(single.narrow(&mut list(fleet(&["c"], 1))), expect);
 }
+
+#[test]
+fn a_list_that_is_told_is_not_asked_for_by_the_tick_that_it_woke() {
+    let mut caller = Caller::new(&["a", "b"]);
+    caller.list(ListKind::Restored, fleet(&["a", "b"], 1));
+    caller.pass(Span(100 * MS));
+    caller.services.reload(catalog(&["b"]), caller.now).expect("it can");
+    // It rests, has never been told a list, and asks for all from now on.
+    caller.now = caller.now.plus(Span(10_000 * MS));
+    caller.list(ListKind::Whole, fleet(&["b"], 1));
+    let of_b = caller.actions.iter().filter(|(s, a)| s.0 == 1 && *a == Action::Subscribe);
+    assert_eq!(of_b.count(), 0);
+}
--- a/tests/services.rs
+++ b/tests/services.rs
@@ -541,6 +541,24 @@
         self.fired = 0;
         self.pass(10_000);
         assert_eq!((self.fired, self.due.len()), (0, 0), "something does not rest");
+        self.check_removed();
+    }
+
+    /// Of a service that was removed nothing is kept once nothing of it is open: whoever asks there gets no word.
+    fn check_removed(&mut self) {
+        let last = self.services.ids().last().map_or(0, |s| s.0);
+        for service in (0..=last + 4).map(ServiceId) {
+            if self.services.serves(service) {
+                continue;
+            }
+            let (mut out, until) = (Vec::new(), self.now.plus(Span(200 * MS)));
+            let request = Request::new(RequestId(u64::MAX), 0, until);
+            self.services.opened(service);
+            self.services.handle(self.now, service, Event::Request(request), &mut out);
+            self.services.handle(self.now, service, Event::Timer(1), &mut out);
+            self.services.closed(service);
+            assert!(out.is_empty(), "{service:?} was removed and says {out:?}");
+        }
     }
 }
 
