--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -5,7 +5,7 @@
 
 use protobuf::Message as _;
 use raft::eraftpb::{Entry, Message, MessageType};
-use raft::{RawNode, StateRole};
+use raft::{RawNode, SnapshotStatus, StateRole};
 
 use super::command::{Command, Outcome};
 use super::machine::Machine;
@@ -406,9 +406,16 @@
         leads && to.is_some()
     }
 
-    /// Messages to this instance were lost.
+    /// Messages to this instance were lost. A snapshot may have been among them: until it is told of its end, the
+    /// consensus sends that instance nothing but heartbeats.
     pub fn unreachable(&mut self, id: u64) {
         self.raft.report_unreachable(id);
+        self.raft.report_snapshot(id, SnapshotStatus::Failure);
+    }
+
+    /// This instance has taken a snapshot; what it said to that may be lost.
+    pub fn has_snapshot(&mut self, id: u64) {
+        self.raft.report_snapshot(id, SnapshotStatus::Finish);
     }
 
     /// Takes the state as the newest snapshot, and gives everything that is to be kept in place of the records
--- a/src/replica/core/tests.rs
+++ b/src/replica/core/tests.rs
@@ -1,6 +1,7 @@
 use std::convert::Infallible;
 
 use super::*;
+use crate::replica::storage::TRAIL;
 
 /// An instance that is alone and leads.
 fn alone() -> Replica {
@@ -34,3 +35,109 @@
     assert_eq!(replica.machine().list().revision(), 40, "what came before it was carried out");
     assert!(replica.machine().leases().duties().is_empty(), "and nothing after it");
 }
+
+/// Three instances, the first of which leads.
+fn three() -> Vec<Replica> {
+    let one = |id| {
+        let (kept, again) = (Kept::new(vec![1, 2, 3]), Duration::from_secs(1));
+        Replica::new::<Infallible>(id, kept, 64, id, again).expect("starts")
+    };
+    let mut all: Vec<Replica> = (1..=3).map(one).collect();
+    all[0].campaign();
+    carry(&mut all, |_| true);
+    assert!(all[0].leads());
+    let seed = Command::Seed { revision: 40, members: vec![] };
+    all[0].propose(&seed).expect("leads");
+    carry(&mut all, |_| true);
+    all
+}
+
+/// Carries messages, those that `passes` lets through, until there are no more.
+fn carry(all: &mut [Replica], mut passes: impl FnMut(&Message) -> bool) {
+    loop {
+        let turn = |r: &mut Replica| r.turn(Duration::ZERO, keep).expect("goes on").messages;
+        let sent: Vec<Message> = all.iter_mut().flat_map(turn).collect();
+        if sent.is_empty() {
+            return;
+        }
+        for message in sent.into_iter().filter(|m| passes(m)) {
+            let _ = all[message.to as usize - 1].step(message);
+        }
+    }
+}
+
+/// One tick of all clocks, and what comes of it.
+fn tick(all: &mut [Replica], passes: impl FnMut(&Message) -> bool) {
+    all.iter_mut().for_each(|r| r.tick(Duration::ZERO));
+    carry(all, passes);
+}
+
+/// Decides on more than is kept before a snapshot, of which the third instance hears nothing, and compacts the log.
+fn third_falls_behind(all: &mut [Replica]) {
+    for i in 0..2 * TRAIL {
+        let duty = format!("d-{i}");
+        let grant = LeaseCommand::Acquire { duty, holder: "h".into(), ttl_ms: 60_000 };
+        all[0].propose(&Command::Lease(grant)).expect("leads");
+        carry(all, |m| m.to != 3 && m.from != 3);
+    }
+    all[0].compact().expect("compacts");
+}
+
+fn caught_up(all: &[Replica]) -> bool {
+    let duties = |r: &Replica| r.machine().leases().duties().len();
+    duties(&all[2]) == duties(&all[0]) && duties(&all[0]) > 0
+}
+
+/// Guards against: a snapshot that was lost on its way, of whose loss nobody told the consensus, so that its instance
+/// got nothing but heartbeats until another led.
+#[test]
+fn a_snapshot_that_was_lost_is_sent_again() {
+    let mut all = three();
+    third_falls_behind(&mut all);
+    let mut lost = 0;
+    for _ in 0..4 * HEARTBEAT_TICKS {
+        tick(&mut all, |m| {
+            let snapshot = m.get_msg_type() == MessageType::MsgSnapshot;
+            lost += usize::from(snapshot);
+            !snapshot
+        });
+    }
+    assert!(lost > 0 && !caught_up(&all), "{lost} lost");
+    all[0].unreachable(3);
+    (0..2 * HEARTBEAT_TICKS).for_each(|_| tick(&mut all, |_| true));
+    assert!(caught_up(&all));
+}
+
+/// Guards against: the same where what it answered to the snapshot was lost.
+#[test]
+fn an_instance_whose_word_on_a_snapshot_was_lost_is_told_what_follows() {
+    let mut all = three();
+    third_falls_behind(&mut all);
+    let mut taken = 0;
+    for _ in 0..4 * HEARTBEAT_TICKS {
+        tick(&mut all, |m| {
+            taken += usize::from(m.get_msg_type() == MessageType::MsgSnapshot);
+            taken == 0 || m.from != 3 || m.get_msg_type() != MessageType::MsgAppendResponse
+        });
+    }
+    assert!(taken > 0 && caught_up(&all), "{taken} taken");
+    let grant = LeaseCommand::Acquire { duty: "e".into(), holder: "h".into(), ttl_ms: 60_000 };
+    all[0].propose(&Command::Lease(grant)).expect("leads");
+    carry(&mut all, |_| true);
+    all[0].has_snapshot(3);
+    (0..2 * HEARTBEAT_TICKS).for_each(|_| tick(&mut all, |_| true));
+    assert!(caught_up(&all));
+}
+
+#[test]
+fn one_that_was_cut_off_and_comes_back_unseats_nobody() {
+    let mut all = three();
+    let terms = |all: &[Replica]| all.iter().map(|r| (r.term(), r.leader())).collect::<Vec<_>>();
+    let before = terms(&all);
+    // Long enough for it to have begun an election many times.
+    for _ in 0..10 * ELECTION_TICKS {
+        tick(&mut all, |m| m.to != 3 && m.from != 3);
+    }
+    (0..4 * ELECTION_TICKS).for_each(|_| tick(&mut all, |_| true));
+    assert_eq!(terms(&all), before);
+}
--- a/src/replica/host.rs
+++ b/src/replica/host.rs
@@ -11,6 +11,7 @@
 use backon::{BackoffBuilder, ExponentialBuilder};
 use bytes::{BufMut, Bytes, BytesMut};
 use hyper::{Method, StatusCode};
+use raft::eraftpb::MessageType;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 
@@ -107,12 +108,19 @@
     pub elections: Cell<u64>,
 }
 
+/// A message that waits for a peer.
+struct Outgoing {
+    data: Bytes,
+    /// The consensus waits to be told of a snapshot's end.
+    snapshot: bool,
+}
+
 /// One running instance.
 pub struct Host {
     replica: RefCell<Replica>,
     log: RefCell<Option<Log>>,
     waiting: RefCell<HashMap<ProposalId, oneshot::Sender<Outcome>>>,
-    peers: HashMap<u64, (SocketAddr, mpsc::Sender<Bytes>)>,
+    peers: HashMap<u64, (SocketAddr, mpsc::Sender<Outgoing>)>,
     /// Peers that have not said yet which forms they read.
     unknown: RefCell<BTreeSet<u64>>,
     work: Notify,
@@ -251,8 +259,10 @@
         }
         for message in turn.messages {
             let Some((_, queue)) = self.peers.get(&message.to) else { continue };
-            if let Ok(data) = core::encode(&message) {
-                let _ = queue.try_send(data.into());
+            let snapshot = message.get_msg_type() == MessageType::MsgSnapshot;
+            let Ok(data) = core::encode(&message) else { continue };
+            if queue.try_send(Outgoing { data: data.into(), snapshot }).is_err() {
+                replica.unreachable(message.to);
             }
         }
         for (duty, token) in turn.expired {
@@ -436,7 +446,7 @@
         self: Rc<Self>,
         id: u64,
         address: SocketAddr,
-        mut messages: mpsc::Receiver<Bytes>,
+        mut messages: mpsc::Receiver<Outgoing>,
     ) {
         let waits = || {
             ExponentialBuilder::default()
@@ -448,10 +458,11 @@
         };
         let (mut line, mut pause) = (None, waits());
         while let Some(first) = messages.recv().await {
-            let mut batch = BytesMut::new();
-            let mut add = |message: Bytes| {
-                batch.put_u32_le(message.len() as u32);
-                batch.extend_from_slice(&message);
+            let (mut batch, mut snapshot) = (BytesMut::new(), false);
+            let mut add = |message: Outgoing| {
+                batch.put_u32_le(message.data.len() as u32);
+                batch.extend_from_slice(&message.data);
+                snapshot |= message.snapshot;
                 batch.len() < PEER_BYTES / 2
             };
             let mut room = add(first);
@@ -481,6 +492,10 @@
             let failed = match timeout(PEER_WITHIN, call).await {
                 Ok(Ok(())) => {
                     pause = waits();
+                    if snapshot {
+                        self.replica.borrow_mut().has_snapshot(id);
+                        self.work.notify_one();
+                    }
                     continue;
                 }
                 Ok(Err(cause)) => cause,
@@ -490,8 +505,9 @@
             line = None;
             self.replica.borrow_mut().unreachable(id);
             sleep(pause.next().unwrap_or(self.tick)).await;
-            // What has waited meanwhile is out of date; the consensus sends anew.
+            // What has waited meanwhile is out of date; the consensus sends anew, once it is told.
             while messages.try_recv().is_ok() {}
+            self.replica.borrow_mut().unreachable(id);
         }
     }
 }
--- a/src/replica/storage.rs
+++ b/src/replica/storage.rs
@@ -67,7 +67,7 @@
 }
 
 /// Entries kept before a snapshot, so that a follower that is a little behind needs no whole state.
-const TRAIL: u64 = 256;
+pub(super) const TRAIL: u64 = 256;
 
 impl Kept {
     /// An instance that has seen nothing, among these voters.
