Tests: the slow version of a release is slow by what its run measures, not by 130 ms

Need: `a_version_that_is_slow_is_halted_by_the_latency_gate` failed once at a load of 25. It sets an upstream of 130 ms against one of 10 ms, and the gate halts at twice the old version's p99: where the machine makes that over 65 ms, the slow version is within the gate and the release goes on. That is worked out from the gate and the two delays; the failed run's message was not kept.

Change: the new version takes three times as long as any client of the same run has waited for the old one so far, at least 130 ms. A client's wait holds the attempt's, and the figures' buckets are a third apart, so that its p99 is over twice the old one's however busy the machine is. All that was asserted still is: halted for latency, at the first stage, and back by hand.

Not yet run: repeated, under a load of 20 to 30, and with the gate taken out.

--- a/tests/releases.rs
+++ b/tests/releases.rs
@@ -7,7 +7,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::Command;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
@@ -26,7 +26,8 @@
 /// One request: when it was made, and what came: the status and who answered; `None` for no answer.
 type Asked = (Instant, Option<(u16, String)>);
 
-/// Clients that ask all the time.
+/// Clients that ask all the time. `slowest`: the longest that one of them waited for an answer of the old version, in
+/// microseconds.
 struct Load {
     stop: Arc<AtomicBool>,
     asked: Arc<Mutex<Vec<Asked>>>,
@@ -34,15 +35,19 @@
 }
 
 impl Load {
-    fn start(proxies: Vec<SocketAddr>, clients: usize) -> Self {
+    fn start(proxies: Vec<SocketAddr>, clients: usize, slowest: &Arc<AtomicU64>) -> Self {
         let (stop, asked) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::new())));
         let client = |i: usize| {
             let (stop, asked, proxy) = (stop.clone(), asked.clone(), proxies[i % proxies.len()]);
+            let slowest = slowest.clone();
             thread::spawn(move || {
                 while !stop.load(Ordering::Relaxed) {
                     let from = Instant::now();
                     let answer = ask(proxy, "POST", "/api/order", &ALARM, "x");
                     let answer = answer.map(|(s, body)| (s, body.trim().to_owned()));
+                    if answer.as_ref().is_some_and(|(s, by)| *s == 200 && by.starts_with("old")) {
+                        slowest.fetch_max(from.elapsed().as_micros() as u64, Ordering::SeqCst);
+                    }
                     asked.lock().expect("a list").push((from, answer));
                     thread::sleep(Duration::from_millis(2));
                 }
@@ -73,11 +78,27 @@
     proxies: Vec<(usize, SocketAddr)>,
     plan: PathBuf,
     control: SocketAddr,
+    /// What the load notes, [`Load`].
+    slowest: Arc<AtomicU64>,
 }
 
 impl Serving {
     /// With a plan for as many new upstreams, each a stand-in started with these arguments.
     fn start(new: &[&str], extra: &str) -> Self {
+        Self::start_with(extra, |fleet, name, _| {
+            let mut args = vec!["stand-in", "--name", name];
+            args.extend(new);
+            let at = fleet.start(name, &args, &[]);
+            fleet.address(at)
+        })
+    }
+
+    /// The same, where `new` starts an upstream of this name; it may look at what the load has noted.
+    fn start_with(
+        extra: &str,
+        new: impl Fn(&mut Fleet, &str, &Arc<AtomicU64>) -> SocketAddr,
+    ) -> Self {
+        let slowest = Arc::default();
         let mut fleet = Fleet::default();
         let cluster = Cluster::start(&mut fleet, 1, "");
         let lists = cluster.lists[0].to_string();
@@ -86,13 +107,10 @@
             let (old, fresh) = (format!("old-{i}"), format!("new-{i}"));
             let at = fleet.start(&old, &["stand-in", "--name", &old, "--delay-ms", "10"], &[]);
             cluster.register(&old, fleet.address(at));
-            let mut args = vec!["stand-in", "--name", &fresh];
-            args.extend(new);
-            let at = fleet.start(&fresh, &args, &[]);
+            let address = new(&mut fleet, &fresh, &slowest);
             upstreams += &format!(
-                "[[upstreams]]\nold = \"{old}\"\nnew = {{ id = \"{fresh}\", host_port = \"{}\", \
-                 locality = \"a\", flavor = \"m\", phase = \"SERVING\", up_since_ms = 1 }}\n",
-                fleet.address(at)
+                "[[upstreams]]\nold = \"{old}\"\nnew = {{ id = \"{fresh}\", host_port = \"{address}\", \
+                 locality = \"a\", flavor = \"m\", phase = \"SERVING\", up_since_ms = 1 }}\n"
             );
         }
         let proxies: Vec<_> = (0..2).map(|i| fleet.proxy(&format!("p-{i}"), &lists, &[])).collect();
@@ -107,11 +125,12 @@
             calls.join(", "),
         );
         let plan = fleet.file("plan.toml", &text);
-        Self { fleet, cluster, proxies, plan, control }
+        Self { fleet, cluster, proxies, plan, control, slowest }
     }
 
     fn load(&self) -> Load {
-        Load::start(self.proxies.iter().map(|p| self.fleet.address(p.0)).collect(), 8)
+        let proxies = self.proxies.iter().map(|p| self.fleet.address(p.0)).collect();
+        Load::start(proxies, 8, &self.slowest)
     }
 
     fn release(&mut self) -> usize {
@@ -224,12 +243,47 @@
     assert_eq!(lost_and_failed(&load.stop()), (0, 0), "none of them ran there: all went elsewhere");
 }
 
+/// An upstream that takes three times as long as any client has waited for the old version so far: however slow the
+/// machine makes that one, this one is beyond the gate's two times, by more than the figures' buckets are apart (a
+/// third). At least 130 ms, where the old version takes 10.
+fn slow(name: &str, slowest: &Arc<AtomicU64>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{name}\n", name.len() + 1);
+    let slowest = slowest.clone();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let (answer, slowest) = (answer.clone(), slowest.clone());
+            thread::spawn(move || {
+                let (mut seen, mut piece) = (Vec::new(), [0; 4 << 10]);
+                while let Ok(n @ 1..) = stream.read(&mut piece) {
+                    seen.extend_from_slice(&piece[..n]);
+                    // The load's requests have a body of one byte.
+                    let Some(end) = seen.windows(4).position(|w| w == b"\r\n\r\n") else {
+                        continue;
+                    };
+                    if seen.len() > end + 4 {
+                        seen.clear();
+                        let longest = Duration::from_micros(slowest.load(Ordering::SeqCst));
+                        thread::sleep((3 * longest).max(Duration::from_millis(130)));
+                        let _ = stream.write_all(answer.as_bytes());
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
 #[test]
 fn a_version_that_is_slow_is_halted_by_the_latency_gate() {
-    let mut serving = Serving::start(&["--delay-ms", "130"], "on_failure = \"halt\"");
+    // Of the gates only that of latencies can halt it; few attempts are enough, for they may take long.
+    let extra =
+        "on_failure = \"halt\"\n[gates]\nerror_share = 1.0\nrefused_share = 1.0\nmin_requests = 5";
+    let mut serving = Serving::start_with(extra, |_, name, slowest| slow(name, slowest));
     let load = serving.load();
     let release = serving.release();
-    until("halted", DONE, || serving.status()["step"] == "halted");
+    until("halted", 2 * DONE, || serving.status()["step"] == "halted");
     let status = serving.status();
     assert!(status["why"].as_str().is_some_and(|why| why.starts_with("latency")), "{status}");
     assert_eq!(
@@ -358,7 +412,7 @@
 #[test]
 fn a_whole_balancer_release_loses_no_request() {
     let (mut fleet, old, listens, plan) = balancers(false);
-    let load = Load::start(listens.clone(), 4);
+    let load = Load::start(listens.clone(), 4, &Arc::default());
     let release = fleet.start(
         "release",
         &["release", "start", "--config", plan.to_str().expect("UTF-8")],
@@ -378,7 +432,7 @@
 #[test]
 fn a_balancer_that_refuses_to_start_leaves_the_old_one_at_its_address() {
     let (mut fleet, old, listens, plan) = balancers(true);
-    let load = Load::start(listens, 4);
+    let load = Load::start(listens, 4, &Arc::default());
     let release = fleet.start(
         "release",
         &["release", "start", "--config", plan.to_str().expect("UTF-8")],
