Policy: room for chance by the places that upstreams are told to have free

Cause: a proxy's bound is its even part of the bank's slots and of the sum of N_i; in a large bank that is one request or less, and chance alone goes over it while the fleet has room.

Change: share() adds the binomial deviation of the places that are free, sqrt(n * free * p * (1 - p)), p being part(): of the n * free places each falls to this proxy with p. free is the mean, over the fleet's 50 answers (MEAN_GAIN), of the share of N_i that a report leaves; an upstream counts with its N_i at most, as K_i is clamped to it, so hung ones do not fill the bank. A full bank leaves nothing, and nothing reported leaves nothing. Lines are made room for in four places that decide as before (tp2's mean, may_refuse, two resizes).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -312,6 +312,8 @@
     counted: Time,
     /// Requests of the whole bank at one upstream, as reports tell.
     load: Option<f64>,
+    /// Share of their N_i that upstreams have free by their reports: a decaying sum, and its weight.
+    free: (f64, f64),
 }
 
 impl Balancer {
@@ -432,13 +434,10 @@
     }
 
     fn refresh_fleet(&mut self, now: Time) {
-        let (mut tp2, mut seen) = (0.0, 0.0);
-        for t in self.servers.iter().filter_map(|s| s.est.tp2) {
-            tp2 += t;
-            seen += 1.0;
-        }
+        let tp2 = self.servers.iter().filter_map(|s| s.est.tp2);
+        let (sum, seen) = tp2.fold((0.0, 0.0), |(sum, seen), t| (sum + t, seen + 1.0));
         if seen > 0.0 {
-            self.fleet.tp2 = tp2 / seen;
+            self.fleet.tp2 = sum / seen;
         }
         let shut = |c: usize| {
             let open = |i: &&usize| self.open_to(Some(c), &self.servers[**i]);
@@ -518,8 +517,11 @@
 
     /// This proxy's share: its part of `even`, or all that others leave of `n`, as reports tell of them.
     /// Failure: 100 proxies over 60 upstreams refused half of what came with one request out, beside 20 idle.
+    /// And room for chance: the binomial deviation of its part of what is free (failure: 300 refused 0.14).
     fn share(&self, room: &Room, even: f64, n: f64) -> f64 {
-        (even * self.part()).max(room.others.map_or(0.0, |others| n - others))
+        let (p, (free, heard)) = (self.part(), self.fleet.free);
+        let chance = (n * free / heard.max(1.0) * p * (1.0 - p)).sqrt();
+        (even * p + chance).max(room.others.map_or(0.0, |others| n - others))
     }
 
     fn refresh_admission(&mut self) {
@@ -739,11 +741,8 @@
     /// The one place that says whether a request may be refused.
     fn may_refuse(&self, e: &Entry) -> bool {
         let class = &self.settings.classes[e.class];
-        match class.effect {
-            Effect::Safe => true,
-            Effect::Unsafe => e.all_never_ran(),
-            Effect::Keyed => class.group == Group::All || e.all_never_ran(),
-        }
+        let dropped = class.effect == Effect::Keyed && class.group == Group::All;
+        class.effect == Effect::Safe || dropped || e.all_never_ran()
     }
 
     fn outcome(&mut self, now: Time, a: Answer, out: &mut Vec<Action>) {
@@ -796,6 +795,11 @@
         if let Some(n) = a.report.inflight.filter(|n| *n >= 0.0) {
             let load = self.fleet.load.get_or_insert(n);
             *load += (n - *load) * TS_GAIN;
+            // A hung one holds dozens, but takes no more than its own N_i from what the fleet has free.
+            let fits = self.n_rate(&self.servers[server]) * (self.fleet.ts + self.fleet.bearable);
+            let (free, heard) = self.fleet.free;
+            let kept = 1.0 - MEAN_GAIN;
+            self.fleet.free = (free * kept + (1.0 - n / fits).max(0.0), heard * kept + 1.0);
             let s = &mut self.servers[server];
             s.others += ((n + 1.0 - f64::from(s.in_flight)).max(0.0) - s.others) * TS_GAIN;
         }
@@ -1013,10 +1017,9 @@
             return;
         }
         let kind = s.kind as usize;
-        if self.fleet.warm_served.len() <= kind {
-            self.fleet.warm_served.resize(kind + 1, 0.0);
-        }
-        self.fleet.warm_served[kind] += 1.0;
+        let served = &mut self.fleet.warm_served;
+        served.resize(served.len().max(kind + 1), 0.0);
+        served[kind] += 1.0;
     }
 
     fn refresh_warm(&mut self, now: Time) {
@@ -1271,9 +1274,8 @@
         // Spread over the bank: a random part of the first send is already earned.
         let head_start = self.rng.rand_float();
         let kind = m.kind.min(255) as usize;
-        if self.fleet.lanes.len() <= kind {
-            self.fleet.lanes.resize_with(kind + 1, Lanes::new);
-        }
+        let lanes = &mut self.fleet.lanes;
+        lanes.resize_with(lanes.len().max(kind + 1), Lanes::new);
         let s = &mut self.servers[i];
         if s.started != m.started && m.started.is_some() {
             (s.tokens, s.refilled) = (head_start, now);
