Services: a tenant is found by its name's hash as by a walk in order; a property holds it

Need (docs/CAPACITY.md): at 31,000 tenants a request looked names through one by one. Found: that walk went with already (`Service::tenant` in src/services/catalog.rs, a hash table per service); nothing tested that it finds what the walk found. Change: a property over names with duplicates, empty and unknown ones, for a service among others and for one alone: the first of its name, nobody for an unknown name, the first where there are no tenants.

--- a/src/services/tests.rs
+++ b/src/services/tests.rs
@@ -1,8 +1,10 @@
+use proptest::prelude::*;
+
 use super::*;
 use crate::discovery::member::{Member as Entry, Phase};
 use crate::interface::{Answer, Outcome, Request, RequestId, ServerId};
 use crate::routing::Route;
-use crate::settings::Facts;
+use crate::settings::{Facts, Tenant};
 
 const MS: i64 = 1000;
 
@@ -326,3 +328,30 @@
     let of_b = caller.actions.iter().filter(|(s, a)| s.0 == 1 && *a == Action::Subscribe);
     assert_eq!(of_b.count(), 0);
 }
+
+proptest! {
+    /// As a walk over the tenants in their order finds it: of two of one name the first, a request without a name is
+    /// that of a tenant without one, an unknown name is nobody's, and where there are no tenants every name is the first.
+    #[test]
+    fn a_tenant_is_the_first_of_its_name(
+        names in prop::collection::vec("[ab]{0,2}", 0..12),
+        asked in prop::collection::vec("[abc]{0,2}", 1..8),
+    ) {
+        let tenant = |name: &String| Tenant { name: name.clone(), quota_rps: 1.0, share: 0.0 };
+        let tenants: Vec<Tenant> = names.iter().map(tenant).collect();
+        let facts = facts("subscribe");
+        let settings = Overrides { tenants: tenants.clone(), ..Overrides::default() };
+        let entry = ServiceEntry { name: "a".into(), settings };
+        let among = Catalog::new(&facts, &[entry], &[]).expect("sound");
+        let single = Catalog::single(&Facts { tenants, ..facts }).expect("sound");
+        for asked in asked.iter().chain(&names) {
+            let walked = match names.is_empty() {
+                true => Some(0),
+                false => names.iter().position(|n| n == asked),
+            };
+            for catalog in [&among, &single] {
+                prop_assert_eq!(catalog.services[0].tenant(asked), walked, "{:?} of {:?}", asked, &names);
+            }
+        }
+    }
+}
