Bench: time added beside direct requests at the same time, the client's lateness, whole proxies by routes

Need: the p99 of the time added was not decided, for direct and proxied requests ran one after the other and 8 clients queued behind themselves; 11,000 routes were not run in a whole proxy. Change: `requests` asks the stand-ins and a proxy of each size at the same time with 32 clients, quiet, at a change a second and a zone at once, in repeats with mean, least and most, and prints how late the client itself was and how long the proxy's thread was ready and not running; `routes` starts whole proxies with 11, 1,100 and 11,000 routes: memory, processor time of a request, the longest gap of answers at SIGHUP (each finds one route more or less, which is checked), takeover. A service's members lie in all zones (5 divides 210, so a zone's loss took whole services), and only services with members are asked.

--- a/benches/balancer.rs
+++ b/benches/balancer.rs
@@ -4,13 +4,14 @@
 //!
 //! ```sh
 //! cargo bench --bench balancer -- control               # quiet, one change, a zone's, a whole list, a scrape, memory
-//! cargo bench --bench balancer -- requests              # time added, by kept and new connections, also amid changes
+//! cargo bench --bench balancer -- requests              # time added beside direct requests, quiet and amid changes
+//! cargo bench --bench balancer -- routes                # a start, a request and a reload by the number of routes
 //! cargo bench --bench balancer -- tenants               # a request's processor time by the number of tenants
 //! cargo bench --bench balancer -- control services=210  # the same members in so many services
 //! ```
 //!
 //! Further options: `sizes=64,1024,6100` members, `aim=2000` the least aim of a class in ms, `seconds=8`, `rate=300`
-//! requests a second, `routes=210`, `tenants=31000`.
+//! requests a second, `clients=32`, `repeats=3`, `routes=210`, `tenants=31000`.
 
 #[allow(dead_code)] // The tests use the rest of it.
 #[path = "../tests/harness/mod.rs"]
@@ -20,8 +21,8 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
@@ -33,28 +34,38 @@
 const STAND_INS: usize = 8;
 const BALANCERS: usize = 400;
 const ZONES: usize = 5;
-const CLIENTS: usize = 8;
 const START: Duration = Duration::from_secs(20);
 
+/// How many of the services have upstreams: each that has some has one in every zone at least.
+fn populated(n: usize, services: usize) -> usize {
+    services.min(n / ZONES).max(1)
+}
+
+/// The zone of a member; a service's are spread over all.
+fn zone(n: usize, services: usize, i: usize) -> usize {
+    let populated = populated(n, services);
+    (i % populated + i / populated) % ZONES
+}
+
 /// Members spread evenly over services, zones and the stand-ins that answer for all of them.
 fn members(n: usize, upstreams: &[SocketAddr], services: usize) -> String {
     let member = |i: usize| {
         let service = match services {
             0 | 1 => String::new(),
-            _ => format!("service = \"service-{}\"\n", i % services),
+            _ => format!("service = \"service-{}\"\n", i % populated(n, services)),
         };
         format!(
             "[[members]]\nid = \"s-{i:08x}\"\nhost_port = \"{}\"\nlocality = \"zone-{}\"\nflavor = \"m\"\n\
              phase = \"SERVING\"\n{service}",
             upstreams[i % upstreams.len()],
-            i % ZONES
+            zone(n, services, i)
         )
     };
     (0..n).map(member).collect()
 }
 
 /// The file of a proxy that is one of 400.
-fn file(discovery: SocketAddr, services: usize, tenants: usize) -> Value {
+fn file(discovery: SocketAddr, services: usize, routes: usize, tenants: usize) -> Value {
     let text = include_str!("../examples/proxy.json");
     let mut file: Value = serde_json::from_str(text).expect("the example");
     let aim = number("aim", 2000) as f64;
@@ -80,19 +91,24 @@
             settings["Tenants"] = file["settings"]["Tenants"].clone();
         }
         let service = |i| json!({"name": format!("service-{i}"), "settings": settings});
-        let route = |i: usize| {
-            let (host, service) = (host(i % services), format!("service-{}", i % services));
-            json!({"host": host, "prefix": format!("/{}", i / services), "service": service})
-        };
         file["services"] = (0..services).map(service).collect();
-        file["routes"] = (0..number("routes", services)).map(route).collect();
+        file["routes"] = table(services, routes);
     }
     file
 }
 
-/// The host that leads to a service; its first route is `/0`.
-fn host(service: usize) -> String {
-    format!("service-{service}.test")
+/// Routes spread evenly over the services.
+fn table(services: usize, routes: usize) -> Value {
+    let route = |i: usize| {
+        let (host, prefix) = route(services, i);
+        json!({"host": host, "prefix": prefix, "service": format!("service-{}", i % services)})
+    };
+    (0..routes).map(route).collect()
+}
+
+/// The host and the prefix of a route.
+fn route(services: usize, i: usize) -> (String, String) {
+    (format!("service-{}.test", i % services), format!("/{}", i / services))
 }
 
 /// Writes a member's phase at this management address of a list service that is alone.
@@ -107,6 +123,7 @@
     fleet: Fleet,
     n: usize,
     services: usize,
+    routes: usize,
     /// Where the list is written.
     list: SocketAddr,
     relay: Relay,
@@ -118,19 +135,29 @@
 
 impl Bench {
     fn start(n: usize, upstreams: &[SocketAddr], tenants: usize) -> Self {
-        let mut fleet = Fleet::default();
         let services = number("services", 1);
+        Self::routed(n, upstreams, services, number("routes", services), tenants)
+    }
+
+    fn routed(
+        n: usize,
+        upstreams: &[SocketAddr],
+        services: usize,
+        routes: usize,
+        tenants: usize,
+    ) -> Self {
+        let mut fleet = Fleet::default();
         let cluster = Cluster::start(&mut fleet, 1, &members(n, upstreams, services));
         let relay = Relay::to(cluster.lists[0]);
-        let text = file(relay.address, services, tenants);
+        let text = file(relay.address, services, routes, tenants);
         let calls = text["management"].as_str().and_then(|a| a.parse().ok()).expect("an address");
-        let path = fleet.file(&format!("proxy-{n}-{tenants}.json"), &text.to_string());
+        let name = format!("proxy-{n}-{routes}-{tenants}");
+        let path = fleet.file(&format!("{name}.json"), &text.to_string());
         let config = path.to_str().expect("UTF-8").to_owned();
-        let name = format!("proxy-{n}-{tenants}");
         let proxy = fleet.start(&name, &[], &[("LB_CONFIG", &config)]);
         let pid = fleet.processes[proxy].pid();
         let list = cluster.calls[0];
-        let bench = Self { fleet, n, services, list, relay, proxy, config, pid, calls };
+        let bench = Self { fleet, n, services, routes, list, relay, proxy, config, pid, calls };
         until("the whole list", START, || bench.size() == n);
         bench
     }
@@ -139,6 +166,29 @@
         look(self.calls, "/admin/stats")["pool_size"].as_u64().unwrap_or(0) as usize
     }
 
+    fn address(&self) -> SocketAddr {
+        self.fleet.address(self.proxy)
+    }
+
+    /// The members of the first zone.
+    fn zone(&self) -> Vec<usize> {
+        (0..self.n).filter(|i| zone(self.n, self.services, *i) == 0).collect()
+    }
+
+    /// The host and path of a request for one of the routes to services that have upstreams.
+    fn target(&self, random: &mut oorandom::Rand64) -> (String, String) {
+        if self.services <= 1 {
+            return ("a".to_owned(), "/api/stock".to_owned());
+        }
+        loop {
+            let i = random.rand_range(0..self.routes as u64) as usize;
+            if i % self.services < populated(self.n, self.services) {
+                let (host, prefix) = route(self.services, i);
+                return (host, format!("{prefix}/api/stock"));
+            }
+        }
+    }
+
     /// Waits until the proxy has been told nothing more and spends nothing more than when it is quiet.
     fn settled(&self, quiet: f64) {
         let mut before = (self.relay.bytes().1, processor(self.pid));
@@ -216,11 +266,11 @@
     // A fifth of the members drains at once, and comes back.
     let (mut cost, mut took, mut told) = (Vec::new(), Vec::new(), Vec::new());
     for (bench, quiet) in all.iter().zip(&quiet) {
-        let (from, zone, list) = (bench.relay.bytes().1, bench.n / ZONES, bench.list);
+        let (from, zone, list) = (bench.relay.bytes().1, bench.zone(), bench.list);
         let before = processor(bench.pid);
         let (begin, mut written) = (Instant::now(), Duration::ZERO);
         for phase in ["DRAINING", "SERVING"] {
-            written += side_by_side(8, zone, |i| set_phase(list, ZONES * i, phase));
+            written += side_by_side(8, zone.len(), |i| set_phase(list, zone[i], phase));
         }
         bench.settled(*quiet);
         let spent = processor(bench.pid) - before - quiet * begin.elapsed().as_secs_f64();
@@ -339,70 +389,112 @@
     Some(stream)
 }
 
-/// Requests with exponential gaps, by so many clients, and the time of each in milliseconds, sorted; those not
-/// answered 200 are counted apart. A client that is late counts from when its request was due.
+/// One answered request, in milliseconds.
+#[derive(Clone, Copy)]
+struct Sample {
+    /// When it was due, since the drive began.
+    due: f64,
+    /// How much later than due its client sent it: the bench's own share.
+    late: f64,
+    /// From its sending to the last byte of its answer.
+    took: f64,
+}
+
+impl Sample {
+    fn since_due(&self) -> f64 {
+        self.late + self.took
+    }
+}
+
+#[derive(Default)]
+struct Driven {
+    /// Those that were answered 200.
+    answered: Vec<Sample>,
+    failed: usize,
+}
+
+impl Driven {
+    /// A figure of the requests that were due while `when` holds, sorted.
+    fn sorted(&self, when: impl Fn(f64) -> bool, figure: impl Fn(&Sample) -> f64) -> Vec<f64> {
+        let asked = self.answered.iter().filter(|s| when(s.due));
+        let mut all: Vec<f64> = asked.map(figure).collect();
+        all.sort_by(f64::total_cmp);
+        all
+    }
+}
+
+/// Requests with exponential gaps by so many clients, the first at the first address and so on.
 fn drive(
-    at: SocketAddr,
+    at: &[SocketAddr],
     kept: bool,
-    services: usize,
-    tenant: &str,
+    target: &(dyn Fn(&mut oorandom::Rand64) -> (String, String) + Sync),
+    header: &str,
     seconds: f64,
-) -> (Vec<f64>, usize) {
-    let rate = number("rate", 300) as f64 / CLIENTS as f64;
-    let (all, failed) = (Mutex::new(Vec::new()), Mutex::new(0));
+    seed: usize,
+) -> Driven {
+    let clients = number("clients", 32);
+    let rate = number("rate", 300) as f64 / clients as f64;
+    let driven = Mutex::new(Driven::default());
     thread::scope(|s| {
-        for c in 0..CLIENTS {
-            let (all, failed) = (&all, &failed);
+        for c in 0..clients {
+            let driven = &driven;
             s.spawn(move || {
-                let mut random = oorandom::Rand64::new(c as u128 + 1);
-                let (begin, mut due, mut times) = (Instant::now(), 0.0, Vec::new());
-                let (mut held, mut buffer, mut bad) = (None, Vec::new(), 0);
+                let mut random = oorandom::Rand64::new((seed * clients + c) as u128 + 1);
+                let (begin, mut due, mut answered_here) = (Instant::now(), 0.0, Vec::new());
+                let (mut held, mut buffer, mut failed) = (None, Vec::new(), 0);
                 for i in 0.. {
                     due += -(1.0 - random.rand_float()).ln() / rate;
                     if due > seconds {
                         break;
                     }
-                    let (host, path) = match services {
-                        0 | 1 => ("a".to_owned(), "/api/stock"),
-                        _ => (host((c + i * CLIENTS) % services), "/0/api/stock"),
-                    };
+                    let (host, path) = target(&mut random);
                     let close = if kept { "" } else { "Connection: close\r\n" };
                     let request = format!(
                         "GET {path} HTTP/1.1\r\nHost: {host}\r\nX-Class: read\r\nX-Deadline-Ms: 2000\r\n\
-                         X-Request-Id: r-{c}-{i}\r\n{tenant}{close}\r\n"
+                         X-Request-Id: r-{seed}-{c}-{i}\r\n{header}{close}\r\n"
                     );
-                    let due = begin + Duration::from_secs_f64(due);
-                    let now = Instant::now();
-                    sleep(due.saturating_duration_since(now));
-                    let from = if due < now { due } else { Instant::now() };
+                    let wanted = begin + Duration::from_secs_f64(due);
+                    sleep(wanted.saturating_duration_since(Instant::now()));
+                    let from = Instant::now();
                     let mut stream = match held.take() {
                         Some(stream) => Some(stream),
-                        None => connect(at),
+                        None => connect(at[c % at.len()]),
                     };
                     let status = stream.as_mut().and_then(|stream| {
                         stream.write_all(request.as_bytes()).ok()?;
                         answered(stream, &mut buffer)
                     });
                     match status {
-                        Some(200) => times.push(from.elapsed().as_secs_f64() * 1e3),
-                        _ => bad += 1,
+                        Some(200) => answered_here.push(Sample {
+                            due: due * 1e3,
+                            late: from.saturating_duration_since(wanted).as_secs_f64() * 1e3,
+                            took: from.elapsed().as_secs_f64() * 1e3,
+                        }),
+                        _ => failed += 1,
                     }
                     held = stream.filter(|_| kept && status.is_some());
                 }
-                all.lock().expect("times").extend(times);
-                *failed.lock().expect("a count") += bad;
+                let mut driven = driven.lock().expect("samples");
+                driven.answered.extend(answered_here);
+                driven.failed += failed;
             });
         }
     });
-    let mut all = all.into_inner().expect("times");
-    all.sort_by(f64::total_cmp);
-    (all, failed.into_inner().expect("a count"))
+    driven.into_inner().expect("samples")
 }
 
 fn at(times: &[f64], part: f64) -> f64 {
     times.get(((times.len().max(1) - 1) as f64 * part) as usize).copied().unwrap_or(f64::NAN)
 }
 
+/// The mean of the repeats, and between which they lie.
+fn spread(figures: &[f64]) -> String {
+    let mean = figures.iter().sum::<f64>() / figures.len().max(1) as f64;
+    let least = figures.iter().copied().fold(f64::INFINITY, f64::min);
+    let most = figures.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+    format!("{mean:.2} ({least:.2} to {most:.2})")
+}
+
 /// How many upstreams have served something, and how many attempts.
 fn used(bench: &Bench) -> (usize, f64) {
     let (_, text) = harness::get(bench.calls, "/metrics", &[]).unwrap_or_default();
@@ -411,70 +503,190 @@
     counts.filter(|n: &f64| *n > 0.0).fold((0, 0.0), |(u, all), n| (u + 1, all + n))
 }
 
+/// What comes of the list while requests are measured.
+#[derive(Clone, Copy, PartialEq)]
+enum Changes {
+    None,
+    /// A member drains or comes back each second.
+    Single,
+    /// A zone's members drain at once, or come back, in turn.
+    Zone,
+}
+
+/// From one change of a zone to the next, in seconds; the sizes have theirs a quarter of it apart.
+const ZONE_EVERY: f64 = 4.0;
+
+/// When the changes of the zone begin, in milliseconds since the drive began.
+fn zone_times(place: usize, seconds: f64) -> Vec<f64> {
+    let times = (0..).map(|k| (0.5 + place as f64 + f64::from(k) * ZONE_EVERY) * 1e3);
+    times.take_while(|t| *t < (seconds - 1.0) * 1e3).collect()
+}
+
+/// Writes them until the drive is over, and leaves all members serving. How long each zone's took to write, in ms.
+fn change(
+    bench: &Bench,
+    changes: Changes,
+    place: usize,
+    seconds: f64,
+    over: &AtomicBool,
+) -> Vec<f64> {
+    let (begin, zone, mut wrote) = (Instant::now(), bench.zone(), Vec::new());
+    let times = match changes {
+        Changes::None => return wrote,
+        Changes::Single => (0..seconds as usize).map(|t| t as f64 * 1e3 + 500.0).collect(),
+        Changes::Zone => zone_times(place, seconds),
+    };
+    let mut write = |i: usize, phase: &str| {
+        if changes == Changes::Single {
+            return set_phase(bench.list, zone[i / 2 % zone.len()], phase);
+        }
+        let took = side_by_side(8, zone.len(), |i| set_phase(bench.list, zone[i], phase));
+        wrote.push(took.as_secs_f64() * 1e3);
+    };
+    let mut drained = None;
+    for (i, t) in times.into_iter().enumerate() {
+        sleep(Duration::from_secs_f64(t / 1e3).saturating_sub(begin.elapsed()));
+        drained = (i % 2 == 0).then_some(i);
+        write(i, if drained.is_some() { "DRAINING" } else { "SERVING" });
+    }
+    if let Some(i) = drained {
+        until("the drive is over", START, || over.load(Ordering::Relaxed));
+        write(i, "SERVING");
+    }
+    wrote
+}
+
+/// Requests through a proxy of each size and directly to the stand-ins, all at the same time, so that what the machine
+/// adds is added to all of them.
 fn requests(sizes: &[usize]) {
     let mut fleet = Fleet::default();
     let upstreams = stand_ins(&mut fleet);
     let all: Vec<Bench> = sizes.iter().map(|n| Bench::start(*n, &upstreams, 0)).collect();
-    sleep(Duration::from_secs(1));
-    let seconds = number("seconds", 7) as f64;
-    let told = |what: &str, (times, bad): &(Vec<f64>, usize), base: Option<f64>| {
-        let p99 = at(times, 0.99);
-        let added = base.map_or(String::new(), |b| format!(", added at p99 {:.2}", p99 - b));
-        println!(
-            "{what}: p50 {:.2}, p99 {p99:.2}, most {:.2} ms{added}; {} answered, {bad} not",
-            at(times, 0.5),
-            at(times, 1.0),
-            times.len()
-        );
-        p99
-    };
-    let base = [true, false].map(|kept| {
-        let what = if kept { "direct, kept" } else { "direct, new" };
-        told(what, &drive(upstreams[0], kept, 1, "", seconds), None)
-    });
-    for changes in [false, true] {
-        for (kept, base) in [(true, base[0]), (false, base[1])] {
-            let mut p99s = Vec::new();
+    let seconds = number("seconds", 12) as f64;
+    let direct = |_: &mut oorandom::Rand64| ("a".to_owned(), "/api/stock".to_owned());
+    // A new proxy's first requests are another matter (docs/open.md).
+    for (round, kept) in [true, false].into_iter().enumerate() {
+        thread::scope(|s| {
             for bench in &all {
-                let over = Arc::new(AtomicBool::new(false));
-                let (spent, took, driven) = share(bench.pid, || {
-                    thread::scope(|s| {
-                        if changes {
-                            // A zone in the time of the run, at an even pace.
-                            let (over, pace) = (over.clone(), seconds * 5.0 / 6100.0);
-                            let (list, n) = (bench.list, bench.n);
-                            s.spawn(move || {
-                                for i in 0.. {
-                                    if over.load(Ordering::Relaxed) {
-                                        return;
-                                    }
-                                    let phase = if i % 2 == 0 { "DRAINING" } else { "SERVING" };
-                                    set_phase(list, (ZONES * (i / 2)) % n, phase);
-                                    sleep(Duration::from_secs_f64(pace));
-                                }
-                            });
+                s.spawn(move || {
+                    let target = |r: &mut _| bench.target(r);
+                    let driven = drive(&[bench.address()], kept, &target, "", 3.0, 100 + round);
+                    println!("{} members, before it counts: {} not 200", bench.n, driven.failed);
+                });
+            }
+        });
+    }
+    for changes in [Changes::None, Changes::Single, Changes::Zone] {
+        for kept in [true, false] {
+            let what = format!(
+                "{}, {}",
+                if kept { "kept connections" } else { "new connections" },
+                match changes {
+                    Changes::None => "quiet",
+                    Changes::Single => "a change a second",
+                    Changes::Zone => "a zone's changes every 4 s",
+                }
+            );
+            // By size: added at p50 and p99, and at p99 since due; the same near a zone's changes; by repeat.
+            let mut added: Vec<[Vec<f64>; 4]> = all.iter().map(|_| Default::default()).collect();
+            let mut beside: [Vec<f64>; 2] = Default::default();
+            for repeat in 0..number("repeats", 3) {
+                sleep(Duration::from_millis(500));
+                let over = AtomicBool::new(false);
+                let before: Vec<_> =
+                    all.iter().map(|b| (processor(b.pid), measure::waited(b.pid))).collect();
+                let from = Instant::now();
+                let (base, driven) = thread::scope(|s| {
+                    let (over, direct, upstreams) = (&over, &direct, &upstreams);
+                    let changing: Vec<_> = all
+                        .iter()
+                        .enumerate()
+                        .map(|(place, b)| s.spawn(move || change(b, changes, place, seconds, over)))
+                        .collect();
+                    let base =
+                        s.spawn(move || drive(upstreams, kept, direct, "", seconds, repeat * 10));
+                    let driven: Vec<_> = all
+                        .iter()
+                        .enumerate()
+                        .map(|(place, b)| {
+                            let target = |r: &mut _| b.target(r);
+                            let seed = repeat * 10 + 1 + place;
+                            s.spawn(move || drive(&[b.address()], kept, &target, "", seconds, seed))
+                        })
+                        .collect();
+                    let base = base.join().expect("driven");
+                    let driven: Vec<_> =
+                        driven.into_iter().map(|d| d.join().expect("driven")).collect();
+                    over.store(true, Ordering::Relaxed);
+                    for (b, wrote) in all.iter().zip(changing) {
+                        let wrote = wrote.join().expect("written");
+                        if !wrote.is_empty() {
+                            println!("{} members: a zone written in {wrote:.0?} ms", b.n);
                         }
-                        let at = bench.fleet.address(bench.proxy);
-                        let driven = drive(at, kept, bench.services, "", seconds);
-                        over.store(true, Ordering::Relaxed);
-                        driven
-                    })
+                    }
+                    (base, driven)
                 });
-                let what = format!(
-                    "{} members, {} connections{}",
+                let took = from.elapsed().as_secs_f64();
+                let tell = |who: &str, driven: &Driven| {
+                    let sent = driven.sorted(|_| true, |s| s.took);
+                    let due = driven.sorted(|_| true, Sample::since_due);
+                    let late = driven.sorted(|_| true, |s| s.late);
+                    println!(
+                        "{what}, {who}: p50 {:.2}, p99 {:.2}, most {:.2} ms; since due p99 {:.2}; client late by {:.2}, \
+                         p99 {:.2}, most {:.2}; {} answered, {} not",
+                        at(&sent, 0.5),
+                        at(&sent, 0.99),
+                        at(&sent, 1.0),
+                        at(&due, 0.99),
+                        at(&late, 0.5),
+                        at(&late, 0.99),
+                        at(&late, 1.0),
+                        sent.len(),
+                        driven.failed
+                    );
+                    [at(&sent, 0.5), at(&sent, 0.99), at(&due, 0.99)]
+                };
+                let base_told = tell("direct", &base);
+                beside[0].push(base_told[0]);
+                beside[1].push(base_told[1]);
+                for (place, bench) in all.iter().enumerate() {
+                    let told = tell(&format!("{} members", bench.n), &driven[place]);
+                    for k in 0..3 {
+                        added[place][k].push(told[k] - base_told[k]);
+                    }
+                    if changes == Changes::Zone {
+                        let times = zone_times(place, seconds);
+                        let near = |due: f64| times.iter().any(|t| (*t..*t + 1e3).contains(&due));
+                        let [near, base] =
+                            [&driven[place], &base].map(|d| d.sorted(near, |s| s.took));
+                        added[place][3].push(at(&near, 0.99) - at(&base, 0.99));
+                    }
+                    let (spent, waited) = before[place];
+                    println!(
+                        "  {:.1}% of a core; {:.2}% of the time ready to run and not running",
+                        (processor(bench.pid) - spent) / took * 100.0,
+                        (measure::waited(bench.pid) - waited) / took * 100.0
+                    );
+                }
+            }
+            println!("= {what}: direct p50 {}, p99 {}", spread(&beside[0]), spread(&beside[1]));
+            for (bench, [p50, p99, due, near]) in all.iter().zip(&added) {
+                let near = match changes {
+                    Changes::Zone => format!(", within 1 s of a zone's changes {}", spread(near)),
+                    _ => String::new(),
+                };
+                println!(
+                    "= {what}, {} members: added at p50 {}, at p99 {}, since due at p99 {}{near}",
                     bench.n,
-                    if kept { "kept" } else { "new" },
-                    if changes { ", amid changes" } else { "" }
+                    spread(p50),
+                    spread(p99),
+                    spread(due)
                 );
-                p99s.push((bench.n as f64, told(&what, &driven, Some(base)) - base));
-                println!("  processor time {:.2}% of a core", spent / took * 100.0);
             }
-            let what = format!(
-                "added at p99, {} connections{}",
-                if kept { "kept" } else { "new" },
-                if changes { ", amid changes" } else { "" }
-            );
-            measure::line(&what, "ms", &p99s);
+            let mean = |f: &[f64]| f.iter().sum::<f64>() / f.len() as f64;
+            let points: Vec<_> =
+                all.iter().zip(&added).map(|(b, a)| (b.n as f64, mean(&a[1]))).collect();
+            measure::line(&format!("= {what}, added at p99"), "ms", &points);
         }
     }
     for bench in &all {
@@ -487,6 +699,202 @@
     }
 }
 
+/// Answers one after the other on one connection for so long: when each was whole, and how many were not 200.
+fn one_by_one(bench: &Bench, seconds: f64) -> (Vec<Instant>, usize) {
+    let (begin, mut random) = (Instant::now(), oorandom::Rand64::new(7));
+    let (mut times, mut failed, mut held, mut buffer) = (Vec::new(), 0, None, Vec::new());
+    while begin.elapsed().as_secs_f64() < seconds {
+        let (host, path) = bench.target(&mut random);
+        let request = format!(
+            "GET {path} HTTP/1.1\r\nHost: {host}\r\nX-Class: read\r\nX-Deadline-Ms: 2000\r\n\
+             X-Request-Id: one-{}\r\n\r\n",
+            times.len()
+        );
+        let mut stream = held.take().or_else(|| connect(bench.address()));
+        let status = stream.as_mut().and_then(|stream| {
+            stream.write_all(request.as_bytes()).ok()?;
+            answered(stream, &mut buffer)
+        });
+        failed += usize::from(status != Some(200));
+        times.push(Instant::now());
+        held = stream.filter(|_| status.is_some());
+    }
+    (times, failed)
+}
+
+/// The longest time without an answer that ends within these, in milliseconds.
+fn gap(times: &[Instant], from: Instant, until: Instant) -> f64 {
+    let ends = times.windows(2).filter(|w| w[1] >= from && w[1] < until);
+    ends.map(|w| (w[1] - w[0]).as_secs_f64() * 1e3).fold(0.0, f64::max)
+}
+
+/// A whole proxy by its routes: its start, memory, what a request costs, and how long SIGHUP holds its thread.
+fn routes(n: usize) {
+    let mut fleet = Fleet::default();
+    let upstreams = stand_ins(&mut fleet);
+    let services = number("services", 210);
+    let most = number("routes", 11_000);
+    // The last tells what the list has in a reload.
+    let shapes = [(n, 11), (n, most / 10), (n, most), (SIZES[0], most)];
+    let mut all: Vec<Bench> = shapes
+        .iter()
+        .map(|(n, routes)| Bench::routed(*n, &upstreams, services, *routes, 0))
+        .collect();
+    let name = |b: &Bench| format!("{} members, {} routes", b.n, b.routes);
+    let count = |b: &Bench| (b.routes as f64) + if b.n == n { 0.0 } else { 0.5 };
+    let line = |what: &str, unit: &str, all: &[Bench], figures: &[f64]| {
+        let points: Vec<_> = all.iter().map(count).zip(figures.iter().copied()).collect();
+        // The last is another size of list.
+        measure::line(what, unit, &points[..3]);
+        println!("  with {}: {:.3} {unit}", name(&all[3]), points[3].1);
+    };
+    for b in &all {
+        println!(
+            "{}: a file of {} B, {:.1} ms of processor time at the start",
+            name(b),
+            std::fs::metadata(&b.config).map_or(0, |m| m.len()),
+            processor(b.pid) * 1e3
+        );
+    }
+    sleep(Duration::from_secs(2));
+    let resident = |all: &[Bench], what: &str| -> Vec<f64> {
+        all.iter().map(|b| memory(b.pid, what)).collect()
+    };
+    line("memory, quiet", "MB", &all, &resident(&all, "VmRSS"));
+    line("memory, at most", "MB", &all, &resident(&all, "VmHWM"));
+
+    // Requests to all at the same time, after what is another matter in the first ones.
+    let drive_all = |seconds: f64, seed: usize| -> Vec<Driven> {
+        thread::scope(|s| {
+            let driven: Vec<_> = all
+                .iter()
+                .map(|b| {
+                    s.spawn(move || {
+                        let target = |r: &mut _| b.target(r);
+                        drive(&[b.address()], true, &target, "", seconds, seed)
+                    })
+                })
+                .collect();
+            driven.into_iter().map(|d| d.join().expect("driven")).collect()
+        })
+    };
+    drive_all(4.0, 50);
+    let spent = |all: &[Bench]| -> Vec<f64> { all.iter().map(|b| processor(b.pid)).collect() };
+    let mut cost: Vec<Vec<f64>> = all.iter().map(|_| Vec::new()).collect();
+    for repeat in 0..number("repeats", 3) {
+        let before = spent(&all);
+        let driven = drive_all(number("seconds", 10) as f64, repeat);
+        for (place, (b, driven)) in all.iter().zip(&driven).enumerate() {
+            let asked = driven.answered.len() + driven.failed;
+            let took = driven.sorted(|_| true, |s| s.took);
+            cost[place].push((processor(b.pid) - before[place]) * 1e6 / asked as f64);
+            println!(
+                "{}: p50 {:.3}, p99 {:.3} ms; {} answered, {} not; {:.1} us of processor time each",
+                name(b),
+                at(&took, 0.5),
+                at(&took, 0.99),
+                took.len(),
+                driven.failed,
+                cost[place][repeat]
+            );
+        }
+    }
+    for (b, cost) in all.iter().zip(&cost) {
+        println!("= {}: a request, us of processor time: {}", name(b), spread(cost));
+    }
+
+    // Each SIGHUP finds one route more or one less than the last.
+    const RELOADS: usize = 8;
+    const EVERY: Duration = Duration::from_millis(600);
+    let (mut held, mut busy) = (Vec::new(), Vec::new());
+    for b in &all {
+        let text = std::fs::read_to_string(&b.config).expect("its file");
+        let mut file: Value = serde_json::from_str(&text).expect("JSON");
+        let mut with = |routes: usize| {
+            file["routes"] = table(services, routes);
+            file.to_string()
+        };
+        let texts = [with(b.routes + 1), with(b.routes)];
+        let added = route(services, b.routes);
+        // Without a class it is malformed where there is a route, and not found where there is none.
+        let is_routed = || {
+            let target = format!("http://{}{}", added.0, added.1);
+            harness::get(b.address(), &target, &[]).map(|a| a.0)
+        };
+        let reload = |i: usize| {
+            std::fs::write(&b.config, &texts[i % 2]).expect("written");
+            let at = Instant::now();
+            b.fleet.hang_up(b.proxy);
+            sleep(EVERY);
+            let wanted = if i.is_multiple_of(2) { 400 } else { 404 };
+            assert_eq!(is_routed(), Some(wanted), "{}: the route {added:?}", name(b));
+            at
+        };
+        let (times, failed, quiet, reloads) = thread::scope(|s| {
+            let total = EVERY.as_secs_f64() * (2 * RELOADS + 1) as f64;
+            let asking = s.spawn(move || one_by_one(b, total));
+            let rest = |_| {
+                let at = Instant::now();
+                sleep(EVERY);
+                at
+            };
+            let quiet: Vec<Instant> = (0..RELOADS).map(rest).collect();
+            let reloads: Vec<Instant> = (0..RELOADS).map(reload).collect();
+            let (times, failed) = asking.join().expect("asked");
+            (times, failed, quiet, reloads)
+        });
+        // Without requests, for who asks one by one asks less meanwhile.
+        // Services that were asked settle first.
+        sleep(10 * EVERY);
+        let (idle, over, ()) = share(b.pid, || sleep(2 * EVERY));
+        let (spent, took, ()) = share(b.pid, || {
+            for i in 0..RELOADS {
+                reload(i);
+            }
+        });
+        let cpu = (spent - idle / over * took) * 1e3 / RELOADS as f64;
+        let gaps = |from: &[Instant]| -> Vec<f64> {
+            from.iter().map(|t| gap(&times, *t, *t + EVERY)).collect()
+        };
+        let (quiet, reloads) = (gaps(&quiet), gaps(&reloads));
+        println!(
+            "= {}: longest gap between {} answers one by one, ms: quiet {}, with SIGHUP {}; {failed} not 200; {cpu:.1} ms of \
+             processor time more",
+            name(b),
+            times.len(),
+            spread(&quiet),
+            spread(&reloads)
+        );
+        held.push(reloads.iter().sum::<f64>() / RELOADS as f64);
+        busy.push(cpu);
+    }
+    line("longest gap at SIGHUP", "ms", &all, &held);
+    line("processor time of a SIGHUP", "ms", &all, &busy);
+    line("memory after reloads", "MB", &all, &resident(&all, "VmRSS"));
+    line("memory after reloads, at most", "MB", &all, &resident(&all, "VmHWM"));
+
+    // A new process, as a change that takes a restart.
+    let mut took = Vec::new();
+    for b in &mut all {
+        let mut each = Vec::new();
+        for i in 0..3 {
+            let (from, calls) = (Instant::now(), free());
+            let env = [("LB_CONFIG", b.config.as_str()), ("LB_MANAGEMENT", &calls.to_string())];
+            let next = b.fleet.start(&format!("next-{}-{}-{i}", b.n, b.routes), &[], &env);
+            until("ready", START, || {
+                harness::get(calls, "/admin/health", &[]).is_some_and(|a| a.0 == 200)
+            });
+            each.push(from.elapsed().as_secs_f64() * 1e3);
+            b.fleet.stop(b.proxy);
+            b.fleet.ended(b.proxy, START);
+            b.proxy = next;
+        }
+        println!("= {}: a takeover until ready, ms: {}", name(b), spread(&each));
+        took.push(each.iter().sum::<f64>() / each.len() as f64);
+    }
+    line("a takeover, until ready", "ms", &all, &took);
+}
+
 fn tenants() {
     let mut fleet = Fleet::default();
     let upstreams = stand_ins(&mut fleet);
@@ -499,11 +907,12 @@
         let (spent, took, ()) = share(bench.pid, || sleep(Duration::from_secs(3)));
         let quiet = spent / took;
         let header = format!("X-Tenant: tenant-{:05}\r\n", tenants - 1);
-        let at = bench.fleet.address(bench.proxy);
-        let (spent, took, (times, bad)) =
-            share(bench.pid, || drive(at, true, bench.services, &header, seconds));
-        println!("{tenants} tenants: {} answered, {bad} not", times.len());
-        let each = (spent - quiet * took) * 1e3 / times.len().max(1) as f64;
+        let (spent, took, driven) = share(bench.pid, || {
+            drive(&[bench.address()], true, &|r| bench.target(r), &header, seconds, 1)
+        });
+        let answered = driven.answered.len();
+        println!("{tenants} tenants: {answered} answered, {} not", driven.failed);
+        let each = (spent - quiet * took) * 1e3 / answered.max(1) as f64;
         cost.push((tenants as f64, each));
         idle.push((tenants as f64, quiet * 100.0));
         size.push((tenants as f64, memory(bench.pid, "VmRSS")));
@@ -533,4 +942,7 @@
     if measure::asked("tenants") {
         tenants();
     }
+    if measure::asked("routes") {
+        routes(sizes.last().copied().unwrap_or(SIZES[2]));
+    }
 }
--- a/benches/measure/mod.rs
+++ b/benches/measure/mod.rs
@@ -11,10 +11,19 @@
 /// Processor time of all threads so far, in seconds: `/proc/PID/task/*/schedstat`, where the system keeps it to the
 /// nanosecond; `/proc/PID/stat` counts in steps of 10 ms, too coarse for 1% of a core.
 pub fn processor(pid: u32) -> f64 {
+    schedule(pid, 0)
+}
+
+/// How long its threads were ready to run and had no processor so far, in seconds: what the machine adds.
+pub fn waited(pid: u32) -> f64 {
+    schedule(pid, 1)
+}
+
+fn schedule(pid: u32, column: usize) -> f64 {
     let tasks = std::fs::read_dir(format!("/proc/{pid}/task"));
     let of = |task: std::fs::DirEntry| {
         let text = std::fs::read_to_string(task.path().join("schedstat")).ok()?;
-        text.split_whitespace().next()?.parse::<f64>().ok()
+        text.split_whitespace().nth(column)?.parse::<f64>().ok()
     };
     tasks.map(|t| t.flatten().filter_map(of).sum::<f64>()).unwrap_or(0.0) / 1e9
 }
