Hollow balancers hold the services that a proxy holds, and a change is told to its own

Change: a hollow balancer holds src/services (Catalog, Services, Directory) by the proxy's own code, watches its services only, and narrows a kept list as the proxy does. Its configuration stays; one service not named, or with an empty name, takes every upstream as before; names that a proxy refuses side by side are refused by `services`. Each balancer counts the services told. tests/scale.rs bounds that count by the entries and messages, and its single changes are now members of services; src/hollow tests build the module from the configuration, compared whole with Settings::basic.

--- a/src/hollow/balancer.rs
+++ b/src/hollow/balancer.rs
@@ -1,17 +1,16 @@
-//! A balancer without sockets: the module with its timers, and the list that it holds. Pure: told the time and what
-//! came, answers when it is due.
+//! A balancer without sockets: its services with their timers, as a proxy holds them ([`crate::services`]), and the list
+//! that it holds. Pure: told the time and what came, answers when it is due.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::hash::{Hash, Hasher};
+use std::rc::Rc;
 
 use rustc_hash::{FxHashMap, FxHashSet, FxHasher};
 
 use crate::discovery::member::{Member as Entry, Message, Phase};
-use crate::interface::{Action, Event, ListKind, Member, ServerId, Settings, SettingsError};
-use crate::interface::{Status, Time};
-use crate::policy::Balancer;
-use crate::settings::stable_hash;
+use crate::interface::{Action, Event, ListKind, SettingsError, Time};
+use crate::services::{Catalog, ServiceId, Services, Told};
 
 /// One entry's part of a [`digest`].
 fn part(entry: &Entry) -> u64 {
@@ -29,26 +28,26 @@
 /// The list as one balancer holds it.
 #[derive(Debug, Default)]
 struct Held {
-    ids: FxHashMap<String, ServerId>,
-    /// By the module's handle: the part of the digest, of those that are in the list.
+    ids: FxHashMap<String, usize>,
+    /// The part of the digest, of those that are in the list.
     parts: Vec<Option<u64>>,
     members: usize,
     digest: u64,
 }
 
 impl Held {
-    fn id(&mut self, name: &str) -> ServerId {
+    fn id(&mut self, name: &str) -> usize {
         if let Some(id) = self.ids.get(name) {
             return *id;
         }
-        let id = ServerId(self.parts.len() as u32);
+        let id = self.parts.len();
         self.ids.insert(name.to_owned(), id);
         self.parts.push(None);
         id
     }
 
-    fn set(&mut self, id: ServerId, part: Option<u64>) {
-        let old = std::mem::replace(&mut self.parts[id.0 as usize], part);
+    fn set(&mut self, id: usize, part: Option<u64>) {
+        let old = std::mem::replace(&mut self.parts[id], part);
         self.members = self.members + usize::from(part.is_some()) - usize::from(old.is_some());
         self.digest = self.digest.wrapping_add(part.unwrap_or(0)).wrapping_sub(old.unwrap_or(0));
     }
@@ -70,28 +69,21 @@
 
 /// One hollow balancer.
 pub struct HollowBalancer {
-    module: Balancer,
-    zones: Vec<String>,
+    services: Services,
     held: Held,
-    timers: BinaryHeap<Reverse<(Time, u64)>>,
+    timers: BinaryHeap<Reverse<(Time, ServiceId, u64)>>,
     actions: Vec<Action>,
-    list: Vec<Member>,
 }
 
 impl HollowBalancer {
-    /// One that holds no list yet. `zones` are the names behind the settings' zones.
+    /// One with the services of this catalog, that holds no list yet.
     ///
     /// # Errors
     /// [`SettingsError`], of settings that no balancer takes.
-    pub fn new(
-        settings: Settings,
-        zones: Vec<String>,
-        seed: u64,
-        now: Time,
-    ) -> Result<Self, SettingsError> {
-        let module = Balancer::new(settings, seed, now)?;
+    pub fn new(catalog: Rc<Catalog>, seed: u64, now: Time) -> Result<Self, SettingsError> {
+        let services = Services::new(catalog, seed, now)?;
         let (held, timers) = (Held::default(), BinaryHeap::new());
-        Ok(Self { module, zones, held, timers, actions: Vec::new(), list: Vec::new() })
+        Ok(Self { services, held, timers, actions: Vec::new() })
     }
 
     /// How many members its list has.
@@ -104,61 +96,43 @@
         self.held.digest
     }
 
-    /// Takes a message into the list held, before the module is [told](Self::tell).
+    /// Takes a message into the list held, before the services are [told](Self::tell).
     pub fn take(&mut self, list: &Message) {
         self.held.take(list);
-        let zone = |name: &str| {
-            self.zones.iter().position(|z| z == name).unwrap_or(self.zones.len()) as u32
-        };
-        self.list.clear();
-        self.list.extend(list.members.iter().filter_map(|entry| {
-            Some(Member {
-                id: *self.held.ids.get(&entry.id)?,
-                identity: stable_hash(&entry.id),
-                zone: zone(&entry.locality),
-                kind: 0,
-                cell: entry.cell,
-                status: match entry.phase {
-                    Phase::Serving => Status::Live,
-                    Phase::Draining | Phase::Unknown => Status::Draining,
-                    Phase::Deleted => Status::Gone,
-                },
-                weight: entry.size,
-                started: (entry.up_since_ms > 0.0)
-                    .then_some(Time((entry.up_since_ms * 1000.0) as i64)),
-            })
-        }));
     }
 
-    /// Tells the module what was [taken](Self::take) last.
-    pub fn tell(&mut self, now: Time, kind: ListKind) {
-        let list = std::mem::take(&mut self.list);
-        self.handle(now, Event::Members { kind, list: &list });
-        self.list = list;
+    /// Tells the services what was [taken](Self::take) last, each its own part of it; how many were told.
+    pub fn tell(&mut self, now: Time, list: &Message, kind: ListKind) -> usize {
+        // There are no connections that its changes could concern.
+        let Told { members, .. } = self.services.told(list, kind);
+        for (service, members) in &members {
+            self.handle(now, *service, Event::Members { kind, list: members });
+        }
+        members.len()
     }
 
     /// When [`Self::pass`] has something to do.
     pub fn due(&self) -> Option<Time> {
-        self.timers.peek().map(|Reverse((at, _))| *at)
+        self.timers.peek().map(|Reverse((at, ..))| *at)
     }
 
-    /// Time has passed: timers that are due are told to the module.
+    /// Time has passed: timers that are due are told to their services.
     pub fn pass(&mut self, now: Time) {
-        while let Some(Reverse((at, token))) = self.timers.peek().copied() {
+        while let Some(Reverse((at, service, token))) = self.timers.peek().copied() {
             if at > now {
                 return;
             }
             self.timers.pop();
-            self.handle(now, Event::Timer(token));
+            self.handle(now, service, Event::Timer(token));
         }
     }
 
-    fn handle(&mut self, now: Time, event: Event) {
-        self.module.handle(now, event, &mut self.actions);
+    fn handle(&mut self, now: Time, service: ServiceId, event: Event<'_>) {
+        self.services.handle(now, service, event, &mut self.actions);
         for action in self.actions.drain(..) {
             // Without requests and connections nothing else is asked for that could be done.
             if let Action::Arm { token, at } = action {
-                self.timers.push(Reverse((at, token)));
+                self.timers.push(Reverse((at, service, token)));
             }
         }
     }
--- a/src/hollow/balancer/tests.rs
+++ b/src/hollow/balancer/tests.rs
@@ -1,24 +1,37 @@
 use super::*;
-use crate::interface::{Class, Span};
+use crate::hollow::config::HollowConfig;
 
-fn entry(id: &str, phase: Phase) -> Entry {
+fn entry_of(id: &str, service: &str, phase: Phase) -> Entry {
     serde_json::from_value(serde_json::json!({
-        "id": id, "host_port": "10.0.0.1:8081", "locality": "b", "phase": phase,
+        "id": id, "host_port": "10.0.0.1:8081", "locality": "b", "phase": phase, "service": service,
     }))
     .expect("an entry")
 }
 
+fn entry(id: &str, phase: Phase) -> Entry {
+    entry_of(id, "service-0", phase)
+}
+
+fn of_services(services: usize) -> HollowBalancer {
+    let text = format!(
+        "management = \"127.0.0.1:0\"\nbalancers = 1\nzones = [\"a\", \"b\"]\nservices = {services}\n\
+         [lists]\nlisten = [\"127.0.0.1:1\"]\n"
+    );
+    let config: HollowConfig = toml::from_str(&text).expect("sound");
+    let mut facts = config.facts().expect("sound");
+    (facts.safety.cold, facts.safety.cold_from) = (5000.0, 0.2);
+    let catalog = Rc::new(config.catalog(&facts, 0).expect("sound"));
+    HollowBalancer::new(catalog, 7, Time(0)).expect("sound settings")
+}
+
 fn balancer() -> HollowBalancer {
-    let mut settings = Settings::basic(vec![Class::safe(Span(400_000), Span(2_000_000))]);
-    settings.rules.cold = Span(5_000_000);
-    settings.rules.cold_from = 0.2;
-    let zones = vec!["a".to_owned(), "b".to_owned()];
-    HollowBalancer::new(settings, zones, 7, Time(0)).expect("sound settings")
+    of_services(1)
 }
 
-fn told(balancer: &mut HollowBalancer, complete: bool, members: Vec<Entry>) {
-    balancer.take(&Message { revision: 1, complete, members });
-    balancer.tell(Time(0), if complete { ListKind::Whole } else { ListKind::Update });
+fn told(balancer: &mut HollowBalancer, complete: bool, members: Vec<Entry>) -> usize {
+    let list = Message { revision: 1, complete, members };
+    balancer.take(&list);
+    balancer.tell(Time(0), &list, if complete { ListKind::Whole } else { ListKind::Update })
 }
 
 #[test]
@@ -51,11 +64,30 @@
 #[test]
 fn the_modules_timers_are_due_and_told_in_order() {
     let mut at = balancer();
-    at.timers.push(Reverse((Time(900_000_000), 3)));
-    at.timers.push(Reverse((Time(800_000_000), 4)));
-    assert_eq!(at.due(), at.timers.peek().map(|Reverse((due, _))| *due));
+    at.timers.push(Reverse((Time(900_000_000), ServiceId(0), 3)));
+    at.timers.push(Reverse((Time(800_000_000), ServiceId(0), 4)));
+    assert_eq!(at.due(), at.timers.peek().map(|Reverse((due, ..))| *due));
     at.pass(Time(800_000_000));
     assert!(at.due().is_some_and(|due| due > Time(800_000_000)));
     at.pass(Time(950_000_000));
     assert!(at.due().is_none_or(|due| due > Time(950_000_000)));
 }
+
+#[test]
+fn a_change_is_told_to_the_services_that_it_names_and_services_without_requests_rest() {
+    for services in [3, 210] {
+        let mut at = of_services(services);
+        let all = |phase: Phase| -> Vec<Entry> {
+            let of = |i| entry_of(&format!("u-{i}"), &format!("service-{}", i % services), phase);
+            (0..2 * services).map(of).collect()
+        };
+        assert_eq!(told(&mut at, true, all(Phase::Serving)), services);
+        // The first service asks for all, and hears of each change.
+        let change =
+            |i: usize| entry_of(&format!("u-{i}"), &format!("service-{i}"), Phase::Draining);
+        assert_eq!(told(&mut at, false, vec![change(1)]), 2);
+        assert_eq!(told(&mut at, false, vec![change(0), change(2)]), 2);
+        at.pass(Time(60_000_000));
+        assert_eq!(at.due(), None, "all rest");
+    }
+}
--- a/src/hollow/config.rs
+++ b/src/hollow/config.rs
@@ -8,9 +8,12 @@
 
 use super::upstream::HollowUpstream;
 use crate::configuration::{self, ConfigError};
-use crate::interface::{Class, Settings, Span};
 use crate::lease::table::TTL_MS;
-use crate::settings::Facts;
+use crate::services::{Catalog, CatalogError, Overrides, ServiceEntry};
+use crate::settings::{
+    Class, ClientHabits, CountedBy, Effect, Facts, Group, PolicyLimits, Prices, RegistryMode,
+    Safety, ScoringMix, Stats,
+};
 
 /// Most balancers, and most upstreams, of one process.
 const MOST: usize = 100_000;
@@ -39,7 +42,8 @@
     /// Zones that balancers and upstreams are spread over by number.
     #[serde(default = "one_zone")]
     pub zones: Vec<String>,
-    /// Services that the upstreams are spread over by number: names, or how many.
+    /// Services that the upstreams are spread over by number and that the balancers serve: names, or how many. Of one
+    /// that is not named, and of one whose name is empty, the balancers take every upstream, whatever service it names.
     #[serde(default)]
     pub services: Services,
     /// TTL of the upstreams' registration, in milliseconds; renewed at a third of it.
@@ -50,7 +54,7 @@
     pub spread_ms: Option<u64>,
     /// Where each balancer keeps its last list, in a folder of its own; without it nothing is kept.
     pub state_dir: Option<PathBuf>,
-    /// The configuration file of a proxy, whose `settings` the modules are given; without it one class with an aim of
+    /// The configuration file of a proxy, whose `settings` each service is given; without it one class with an aim of
     /// 2 s and a deadline of 6 s.
     pub proxy: Option<PathBuf>,
 }
@@ -120,12 +124,19 @@
     ///
     /// # Errors
     /// What [`configuration::load`] refuses, and [`ConfigError::Invalid`] for a process of nobody or of more than
-    /// 100,000, one without a list service to talk to, no zones or services, and a TTL out of its range.
+    /// 100,000, one without a list service to talk to, no zones or services, services that no balancer can serve side
+    /// by side, and a TTL out of its range.
     pub fn load(path: &Path) -> Result<Self, ConfigError> {
         let config: Self = configuration::load(path)?;
-        config
-            .fault()
-            .map_or(Ok(config), |(key, cause)| Err(ConfigError::invalid(path, key, cause)))
+        if let Some((key, cause)) = config.fault() {
+            return Err(ConfigError::invalid(path, key, cause));
+        }
+        if config.balancers > 0 {
+            let refused =
+                |cause: CatalogError| ConfigError::invalid(path, "services", cause.to_string());
+            config.catalog(&basic(), 0).map_err(refused)?;
+        }
+        Ok(config)
     }
 
     fn fault(&self) -> Option<(&'static str, &'static str)> {
@@ -174,13 +185,13 @@
         Duration::from_millis(self.spread_ms.unwrap_or(self.ttl_ms / 3))
     }
 
-    /// What each module is told, but for its own number and zone.
+    /// What each service of each balancer is told, but for the balancer's own number and zone.
     ///
     /// # Errors
     /// [`ConfigError`] where `proxy` can't be read, or has no settings that a balancer takes.
-    pub fn settings(&self) -> Result<Settings, ConfigError> {
-        let mut settings = match &self.proxy {
-            None => Settings::basic(vec![Class::safe(Span(2_000_000), Span(6_000_000))]),
+    pub fn facts(&self) -> Result<Facts, ConfigError> {
+        let mut facts = match &self.proxy {
+            None => basic(),
             Some(path) => {
                 let text = std::fs::read(path)
                     .map_err(|source| ConfigError::Unreadable { path: path.clone(), source })?;
@@ -190,16 +201,101 @@
                     let cause = e.into_inner().to_string();
                     ConfigError::Malformed { path: path.clone(), key, cause }
                 })?;
-                proxy.settings.settings()
+                proxy.settings
             }
         };
-        settings.balancers = self.bank.unwrap_or(self.balancers as u32);
-        settings.zones = self.zones.len() as u32;
-        let refused = |e: crate::interface::SettingsError| match &self.proxy {
-            Some(path) => ConfigError::invalid(path, "settings", e.to_string()),
-            None => ConfigError::invalid(Path::new("-"), "settings", e.to_string()),
+        facts.balancers = self.bank.unwrap_or(self.balancers as u32);
+        facts.zones = self.zones.clone();
+        let path = self.proxy.as_deref().unwrap_or(Path::new("-"));
+        match facts.settings().checked() {
+            Ok(_) => Ok(facts),
+            Err(cause) => Err(ConfigError::invalid(path, "settings", cause.to_string())),
+        }
+    }
+
+    /// The services of the balancer of this number.
+    ///
+    /// # Errors
+    /// [`CatalogError`].
+    pub fn catalog(&self, facts: &Facts, number: usize) -> Result<Catalog, CatalogError> {
+        let mut facts = facts.clone();
+        facts.position = number as u32;
+        facts.zone = (number % self.zones.len()) as u32;
+        let single = match &self.services {
+            Services::Count(n) => *n == 1,
+            Services::Names(names) => names.len() == 1 && names[0].is_empty(),
+        };
+        if single {
+            return Catalog::single(&facts);
+        }
+        // Where there are services, each states its own tenants.
+        let tenants = std::mem::take(&mut facts.tenants);
+        let entry = |i| ServiceEntry {
+            name: self.services.name(i),
+            settings: Overrides { tenants: tenants.clone(), ..Overrides::default() },
         };
-        settings.checked().map_err(refused)
+        let entries: Vec<_> = (0..self.services.count()).map(entry).collect();
+        Catalog::new(&facts, &entries, &[])
+    }
+}
+
+/// What a balancer is told where nothing is stated: one class with an aim of 2 s and a deadline of 6 s.
+fn basic() -> Facts {
+    let class = Class {
+        name: String::new(),
+        aim: 2000.0,
+        deadline: 6000.0,
+        effect: Effect::Retryable,
+        group: Group::All,
+        importance: 1.0,
+        late_value: 0.0,
+        window: 0.0,
+        aim_stretch: 0.0,
+        streaming: false,
+        by_arrival: false,
+        zones_allowed: None,
+        bound_to: None,
+    };
+    let policy_limits = PolicyLimits {
+        max_attempts: 3,
+        second_copies: false,
+        cancelling: false,
+        probes: false,
+        retry_after: false,
+        max_retry_after: 0.0,
+        connect_timeout: 0.0,
+        keepalive: 0.0,
+        streams_per_conn: 1,
+    };
+    let safety = Safety {
+        ask_every: 0.0,
+        drain_grace: 0.0,
+        answer_slack: 0.0,
+        cold: 0.0,
+        cold_from: 1.0,
+        fall_multiple: 1.0,
+        tip_after: 0.0,
+        drain_close: 0.0,
+        turn_gap: 0.0,
+    };
+    Facts {
+        balancers: 1,
+        position: 0,
+        zone: 0,
+        zones: one_zone(),
+        machine_types: Vec::new(),
+        tick: 1.0,
+        registry_mode: RegistryMode::Automatic,
+        classes: vec![class],
+        tenants: Vec::new(),
+        policy_limits,
+        safety,
+        prices: Prices::default(),
+        stats: Stats::default(),
+        scoring_mix: ScoringMix { whole: 1.0, ..ScoringMix::default() },
+        client_habits: ClientHabits::default(),
+        counted_by: CountedBy::Request,
+        over_share_worth: 1.0,
     }
 }
 
--- a/src/hollow/config/tests.rs
+++ b/src/hollow/config/tests.rs
@@ -1,6 +1,8 @@
 use std::path::Path;
 
 use super::*;
+use crate::interface::{Class, Settings, Span};
+use crate::settings::Tenant;
 
 fn parse(text: &str) -> Result<HollowConfig, String> {
     let path = std::env::temp_dir().join(format!(
@@ -22,7 +24,12 @@
     let path = concat!(env!("CARGO_MANIFEST_DIR"), "/examples/hollow.toml");
     let config = HollowConfig::load(Path::new(path)).expect("sound");
     assert_eq!((config.balancers, config.upstreams, config.services.count()), (20, 300, 210));
-    assert_eq!(config.settings().expect("sound").balancers, 400);
+    let facts = config.facts().expect("sound");
+    assert_eq!((facts.settings().balancers, facts.settings().zones), (400, 5));
+    let catalog = config.catalog(&facts, 7).expect("sound");
+    let of_all = catalog.services.iter().map(|s| s.facts.settings());
+    assert!(of_all.clone().all(|s| (s.position, s.zone, s.zones) == (7, 2, 5)));
+    assert_eq!(of_all.count(), 210);
 }
 
 #[test]
@@ -30,7 +37,26 @@
     let config = parse(&format!("{GOOD}{LISTS}")).expect("sound");
     assert_eq!((config.first, config.ttl_ms, config.zones.len()), (0, 10_000, 1));
     assert_eq!(config.spread(), Duration::from_millis(3333));
-    assert_eq!(config.settings().expect("sound").balancers, 2);
+    let facts = config.facts().expect("sound");
+    let class = Class::safe(Span(2_000_000), Span(6_000_000));
+    let basic = Settings { balancers: 2, ..Settings::basic(vec![class]) };
+    assert_eq!(format!("{:?}", facts.settings()), format!("{basic:?}"));
+    assert!(config.catalog(&facts, 0).expect("sound").is_single(), "it takes every upstream");
+}
+
+#[test]
+fn a_balancer_serves_the_services_that_are_named_with_the_settings_tenants_each() {
+    let named = |names: &str| {
+        let config = parse(&format!("{GOOD}services = {names}\n{LISTS}")).expect("sound");
+        let mut facts = config.facts().expect("sound");
+        facts.tenants = vec![Tenant { name: "t".into(), quota_rps: 1.0, share: 1.0 }];
+        config.catalog(&facts, 1).expect("sound")
+    };
+    let two = named("[\"shop\", \"till\"]");
+    assert_eq!(two.names(), Some(vec!["shop".to_owned(), "till".to_owned()]));
+    assert!(two.services.iter().all(|s| s.tenant("t") == Some(0) && s.tenant("u").is_none()));
+    assert_eq!(named("[\"shop\"]").names(), Some(vec!["shop".to_owned()]));
+    assert!(named("[\"\"]").is_single());
 }
 
 #[test]
@@ -47,6 +73,8 @@
         (format!("{GOOD}services = -1\n{LISTS}"), "`services`"),
         (format!("{GOOD}services = []\n{LISTS}"), "`services`"),
         (format!("{GOOD}services = [\"shop\", \"a,b\"]\n{LISTS}"), "`services`"),
+        (format!("{GOOD}services = [\"shop\", \"shop\"]\n{LISTS}"), "`services`"),
+        (format!("{GOOD}services = [\"shop\", \"\"]\n{LISTS}"), "`services`"),
         (format!("{GOOD}[lists]\nlisten = [\"127.0.0.1:1\"]\n"), "`lists.management`"),
         (format!("{GOOD}[lists]\nmanagement = [\"127.0.0.1:1\"]\n"), "`lists.listen`"),
         (format!("management = \"127.0.0.1:0\"\nbalancers = 100001\n{LISTS}"), "`balancers`"),
@@ -62,10 +90,10 @@
 fn the_modules_take_a_proxys_settings_by_its_file() {
     let proxy = concat!(env!("CARGO_MANIFEST_DIR"), "/examples/proxy.json");
     let config = parse(&format!("{GOOD}proxy = \"{proxy}\"\n{LISTS}")).expect("sound");
-    assert_eq!(config.settings().expect("sound").classes.len(), 3);
+    assert_eq!(config.facts().expect("sound").settings().classes.len(), 3);
     let config = parse(&format!("{GOOD}proxy = \"/nowhere\"\n{LISTS}")).expect("read later");
-    assert!(matches!(config.settings(), Err(ConfigError::Unreadable { .. })));
+    assert!(matches!(config.facts(), Err(ConfigError::Unreadable { .. })));
     let file = concat!(env!("CARGO_MANIFEST_DIR"), "/examples/hollow.toml");
     let config = parse(&format!("{GOOD}proxy = \"{file}\"\n{LISTS}")).expect("read later");
-    assert!(matches!(config.settings(), Err(ConfigError::Malformed { .. })));
+    assert!(matches!(config.facts(), Err(ConfigError::Malformed { .. })));
 }
--- a/src/hollow/driver.rs
+++ b/src/hollow/driver.rs
@@ -43,7 +43,8 @@
 use crate::discovery::member::Message;
 use crate::discovery::registration;
 use crate::figures::Text;
-use crate::interface::{ListKind, Settings, Time};
+use crate::interface::{ListKind, Time};
+use crate::settings::Facts;
 use crate::tasks::{AbortOnDrop, settle};
 
 /// A timer that fires so late tells that the process stood still: what came meanwhile is taken first.
@@ -151,7 +152,7 @@
 /// The process.
 pub struct Hollow {
     config: HollowConfig,
-    settings: Settings,
+    facts: Facts,
     clock: Clock,
     tally: std::sync::Arc<Tally>,
     dispatch: Dispatch,
@@ -165,7 +166,7 @@
     /// # Errors
     /// [`HollowError`].
     pub fn new(config: HollowConfig) -> Result<Rc<Self>, HollowError> {
-        let settings = config.settings()?;
+        let facts = config.facts()?;
         let tally = std::sync::Arc::new(Tally::new());
         let dispatch = Dispatch::new(tally.clone());
         let balancer = |number: usize| BalancerSlot {
@@ -189,7 +190,7 @@
             })
             .collect::<Result<Vec<_>, Undecided>>()?;
         let clock = Clock::new();
-        Ok(Rc::new(Self { config, settings, clock, tally, dispatch, balancers, upstreams }))
+        Ok(Rc::new(Self { config, facts, clock, tally, dispatch, balancers, upstreams }))
     }
 
     /// Starts everybody, and answers calls until the task is dropped.
@@ -228,14 +229,19 @@
             Ok(keeper) => keeper,
             Err(cause) => return tracing::error!(%cause, id, "state_dir"),
         };
-        let known = keeper.as_ref().map(|k| k.list().clone()).unwrap_or_default();
-        let mut settings = self.settings.clone();
-        settings.position = *number as u32;
-        settings.zone = (number % self.config.zones.len()) as u32;
-        let grace = Duration::from_micros(settings.rules.drain_grace.0.max(0) as u64);
+        let catalog = match self.config.catalog(&self.facts, *number) {
+            Ok(catalog) => Rc::new(catalog),
+            Err(cause) => return tracing::error!(%cause, id, "services"),
+        };
+        let mut known = keeper.as_ref().map(|k| k.list().clone()).unwrap_or_default();
+        let narrowed = catalog.narrow(&mut known);
+        if let (true, Some(keeper)) = (narrowed.changed, &keeper) {
+            keeper.keep(known.clone());
+        }
+        let grace = self.facts.settings().rules.drain_grace;
+        let grace = Duration::from_micros(grace.0.max(0) as u64);
         let seed = self.config.seed.wrapping_add(*number as u64);
-        let zones = self.config.zones.clone();
-        let mut balancer = match HollowBalancer::new(settings, zones, seed, self.clock.now()) {
+        let mut balancer = match HollowBalancer::new(catalog.clone(), seed, self.clock.now()) {
             Ok(balancer) => balancer,
             Err(cause) => return tracing::error!(%cause, id, "settings"),
         };
@@ -248,6 +254,8 @@
         addresses.rotate_left(first);
         let mode = Mode::Pushed { grace };
         let follow = Follow::new(addresses, mode, known.revision, Instant::now());
+        let follow = if narrowed.whole { follow } else { follow.asking_whole() };
+        let filter = catalog.names().map_or_else(Filter::all, Filter::services);
         // Held open: nobody moves the list of a hollow balancer.
         let (_orders, ordered) = mpsc::unbounded_channel();
         let (tell, mut news) = mpsc::unbounded_channel();
@@ -257,7 +265,7 @@
             async move { Ok(Counted { stream: client::connect(address).await?, figures }) }
         };
         let tell = move |news| drop(tell.send(news));
-        let client = client::run(follow, Filter::all(), connect, ordered, tell);
+        let client = client::run(follow, filter, connect, ordered, tell);
         let _client = AbortOnDrop(tokio::task::spawn_local(client));
         loop {
             let due = balancer.due().map(|due| self.clock.instant(due));
@@ -313,13 +321,15 @@
         balancer.take(list);
         figures.members.set(balancer.members() as u64);
         figures.digest.set(balancer.digest());
-        self.metered(figures, || balancer.tell(self.clock.now(), kind));
+        let told = self.metered(figures, || balancer.tell(self.clock.now(), list, kind));
+        add(&figures.services_told, told as u64);
     }
 
-    fn metered(&self, figures: &BalancerFigures, module: impl FnOnce()) {
+    fn metered<T>(&self, figures: &BalancerFigures, module: impl FnOnce() -> T) -> T {
         let before = processor_ns(ClockId::ThreadCPUTime);
-        module();
+        let said = module();
         figures.told_module(processor_ns(ClockId::ThreadCPUTime).saturating_sub(before));
+        said
     }
 
     fn start_upstream(self: &Rc<Self>, i: usize, after: Duration) {
--- a/src/hollow/figures.rs
+++ b/src/hollow/figures.rs
@@ -24,9 +24,11 @@
     pub entries: Cell<u64>,
     /// Bytes read from list services, heads and heartbeats too.
     pub bytes: Cell<u64>,
-    /// Processor time spent in the module, in nanoseconds.
+    /// Services that were told of a list or a change, once for each.
+    pub services_told: Cell<u64>,
+    /// Processor time spent in the services and their modules, in nanoseconds.
     pub module_ns: Cell<u64>,
-    /// Times that the module was told something.
+    /// Times that they were told something.
     pub module_calls: Cell<u64>,
     /// Longest processor time of one of them, in nanoseconds.
     pub module_longest_ns: Cell<u64>,
@@ -65,6 +67,7 @@
             "revision": self.revision.get(), "went_back": self.went_back.get(),
             "messages": self.messages.get(), "whole_lists": self.whole_lists.get(),
             "entries": self.entries.get(), "bytes": self.bytes.get(),
+            "services_told": self.services_told.get(),
             "module_us": self.module_ns.get() / 1000, "module_calls": self.module_calls.get(),
             "module_longest_us": self.module_longest_ns.get() / 1000,
             "members": self.members.get(), "digest": format!("{:016x}", self.digest.get()),
@@ -111,6 +114,8 @@
     pub entries: Spread,
     /// Bytes read.
     pub bytes: Spread,
+    /// Services that were told of a list or a change.
+    pub services_told: Spread,
     /// Microseconds of processor time in the module.
     pub module_us: Spread,
 }
@@ -130,6 +135,7 @@
             whole_lists: spread(|b| b.whole_lists.get()),
             entries: spread(|b| b.entries.get()),
             bytes: spread(|b| b.bytes.get()),
+            services_told: spread(|b| b.services_told.get()),
             module_us: spread(|b| b.module_ns.get() / 1000),
         }
     }
@@ -147,6 +153,7 @@
             ("hollow_whole_lists", "Whole lists among them", self.whole_lists),
             ("hollow_entries", "Entries in them", self.entries),
             ("hollow_received_bytes", "Bytes read from list services", self.bytes),
+            ("hollow_services_told", "Services told of a list or a change", self.services_told),
             ("hollow_module_us", "Processor time in the module, microseconds", self.module_us),
         ];
         for (name, help, spread) in spreads {
--- a/src/roles/mod.rs
+++ b/src/roles/mod.rs
@@ -199,7 +199,7 @@
 /// # Errors
 /// [`RoleError::Config`].
 pub fn check_hollow(path: &Path) -> Result<(), RoleError> {
-    HollowConfig::load(path)?.settings()?;
+    HollowConfig::load(path)?.facts()?;
     Ok(())
 }
 
--- a/tests/rehearsal/mod.rs
+++ b/tests/rehearsal/mod.rs
@@ -10,7 +10,7 @@
 use hollowpaddle::hollow::balancer::digest;
 use serde_json::Value;
 
-use crate::harness::{Cluster, Fleet, free, get, look, member, post, until};
+use crate::harness::{Cluster, Fleet, free, get, look, post, until};
 
 /// How many of what, in how many processes.
 #[derive(Clone, Copy, Debug)]
@@ -37,6 +37,8 @@
     pub whole_lists: u64,
     pub entries: u64,
     pub bytes: u64,
+    /// Services told of a list or a change, once for each.
+    pub services_told: u64,
     pub module_us: u64,
     /// Of one call since the start.
     pub module_longest_us: u64,
@@ -57,6 +59,7 @@
             whole_lists: count("whole_lists"),
             entries: count("entries"),
             bytes: count("bytes"),
+            services_told: count("services_told"),
             module_us: count("module_us"),
             module_longest_us: count("module_longest_us"),
             members: count("members"),
@@ -73,6 +76,7 @@
             whole_lists: self.whole_lists - before.whole_lists,
             entries: self.entries - before.entries,
             bytes: self.bytes - before.bytes,
+            services_told: self.services_told - before.services_told,
             module_us: self.module_us - before.module_us,
             ..self.clone()
         }
@@ -136,9 +140,15 @@
         self.started += upstreams;
     }
 
-    /// Registers a member without a TTL, wherever that is decided, for as long as it takes within this time.
+    /// Registers a member without a TTL, in the service that its id's number stands for, wherever that is decided, for
+    /// as long as it takes within this time.
     pub fn register(&self, id: &str, within: Duration) {
-        let body = member(id, free());
+        let number: usize = id.rsplit('-').next().and_then(|n| n.parse().ok()).expect("a number");
+        let body = serde_json::json!({"member": {
+            "id": id, "host_port": free(), "locality": "a", "flavor": "m", "phase": "SERVING",
+            "service": format!("service-{}", number % self.size.services),
+        }})
+        .to_string();
         until(&format!("{id} is acknowledged"), within, || {
             let decides = |at: &SocketAddr| {
                 post(*at, "/admin/members", &body).is_some_and(|(status, _)| status == 200)
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -48,14 +48,17 @@
     r.counts().iter().zip(&before).map(|(now, then)| now.since(then)).collect()
 }
 
-/// A change costs a balancer a message and an entry at most (those that come together share a message), and never a
-/// whole list. By its own revision: on a busy machine the list may change between two looks.
+/// A change costs a balancer a message and an entry at most (those that come together share a message), never a whole
+/// list, and no more services are told of it than it has entries, beside the one that asks for all. By its own revision:
+/// on a busy machine the list may change between two looks.
 fn bounded(what: &str, counts: &[Counts]) {
     for b in counts {
         assert_eq!(b.went_back, 0, "{what}: {b:?}");
         assert_eq!(b.whole_lists, 0, "{what}: {b:?}");
         assert!(b.messages <= b.revisions, "{what}: {b:?}");
         assert!(b.entries <= b.revisions, "{what}: {b:?}");
+        assert!(b.services_told <= b.entries + b.messages, "{what}: {b:?}");
+        assert!(b.services_told >= b.messages, "{what}: {b:?}");
     }
 }
 
