A process that ends leads new connections to the one that stays before it closes

Two processes share an address by SO_REUSEPORT and the kernel spreads connections by hash until one closes; what is in its accept queue or amid its handshake between the last accept and the close is reset.

Change: the one that ends tells the kernel (SO_ATTACH_REUSEPORT_CBPF, by the nix crate; one instruction, the place of the one that stays), waits 0.1 s for what is on its way, takes the rest and closes. Marks sort by when their process began and say serves or ends; of two that end at once one waits its turn. A process that comes beside another resets the word. Where the kernel refuses, all is as before; without another process at the address nothing changes.

--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -99,21 +99,28 @@
             () = stop => {}
         }
         self.engine.ending(Instant::now() + self.time_to_end());
-        // New connections still find us for a moment; where a newer process listens too, they find that one
-        // as soon as we are gone. From here each answer asks its client to go elsewhere.
-        let succeeded = mark.succeeded();
+        // New connections still find us for a moment; where a newer process listens too, they are led to that one.
+        // From here each answer asks its client to go elsewhere.
+        let mut ending = mark.end();
+        let succeeded = ending.succeeded();
         self.lifecycle.stop(succeeded);
-        if !succeeded {
+        let turn = if succeeded {
+            tokio::select! {
+                () = self.accept(&listener) => None,
+                turn = ending.lead_away(&listener) => turn,
+            }
+        } else {
             let _ = timeout(LINGER, self.accept(&listener)).await;
-        }
+            None
+        };
         self.take_the_rest(listener).await;
+        drop((ending, turn));
         let finished = async {
             while self.open.get() > 0 {
                 sleep(Duration::from_millis(5)).await;
             }
         };
         let _ = timeout(FINISH, finished).await;
-        mark.take_back();
     }
 
     /// How long after SIGTERM the last answer has to be out.
--- a/src/bin/hollowpaddle/main.rs
+++ b/src/bin/hollowpaddle/main.rs
@@ -146,7 +146,8 @@
     let bound = listener.local_addr().map_err(|e| format!("listen on {}: {e}", config.listen))?;
     tracing::info!(name = config.name, "listening on {bound}");
     let front = Rc::new(Front::new(handle, lifecycle, figures, memory, budget.clients));
-    let serve = front.serve(listener, Mark::leave(bound), async move {
+    let mark = Mark::leave(bound, &listener);
+    let serve = front.serve(listener, mark, async move {
         term.recv().await;
     });
     tokio::select! {
--- a/src/bin/hollowpaddle/succession.rs
+++ b/src/bin/hollowpaddle/succession.rs
@@ -3,10 +3,13 @@
 use std::fs::{File, TryLockError};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use nix::libc;
+use nix::sys::socket::{setsockopt, sockopt};
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::TcpListener;
+use tokio::time::{Instant, sleep};
 
 /// The kernel's buffers on a connection, each way. Left to itself it keeps megabytes for one slow reader, which is
 /// memory too; and no progress could be seen until most of them had gone.
@@ -28,47 +31,182 @@
     TcpListener::from_std(socket.into())
 }
 
+/// What a process says of itself by the name of its mark.
+const SERVES: &str = "serves";
+const ENDS: &str = "ends";
+/// How long connections that are coming up here have, once new ones are led to another process.
+const SETTLE: Duration = Duration::from_millis(100);
+/// How long one process waits while another ends at the address, and how often it looks.
+const TURN: Duration = Duration::from_millis(300);
+const LOOK: Duration = Duration::from_millis(5);
+/// No place in a group of listeners: the kernel goes by its hash.
+const NO_PLACE: u32 = u32::MAX;
+
 /// This process's word that it serves an address: a file that it holds locked for as long as it lives. A file, for
 /// a process that is replaced hears of it from nobody: its successor knows neither its id nor where its operators
 /// call. Locked, for one that was killed leaves its file behind, and succeeds nobody.
 pub struct Mark {
     folder: PathBuf,
-    /// What the names of all marks at this address begin with.
-    prefix: String,
+    at: String,
+    /// When this process began, and its id: marks sort by it in the order in which their processes began.
     name: String,
     _locked: Option<File>,
 }
 
 impl Mark {
-    /// Marks this process as one that serves `listen`.
-    pub fn leave(listen: SocketAddr) -> Self {
+    /// Marks this process as one that serves what `listener` is bound to.
+    pub fn leave(listen: SocketAddr, listener: &TcpListener) -> Self {
         let at = listen.to_string().replace(|c: char| !c.is_ascii_alphanumeric(), "-");
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let (folder, prefix) = (std::env::temp_dir(), format!("hollowpaddle-serves-{at}-"));
-        let name = format!("{prefix}{}-{}", std::process::id(), since.as_nanos());
-        let locked = lock(&folder, &name).inspect_err(|cause| {
-            tracing::warn!(%cause, folder = %folder.display(), "no mark left for a process replaced");
+        let name = format!("{:024}-{}", since.as_nanos(), std::process::id());
+        let mut mark = Self { folder: std::env::temp_dir(), at, name, _locked: None };
+        let locked = lock(&mark.folder, &mark.file(SERVES)).inspect_err(|cause| {
+            let folder = mark.folder.display();
+            tracing::warn!(%cause, %folder, "no mark left for a process replaced");
+        });
+        mark._locked = locked.ok();
+        // One that ended before may have left its word on where new connections go.
+        if mark.processes().len() > 1 {
+            let _ = lead(listener, NO_PLACE);
+        }
+        mark
+    }
+
+    /// Says that this process ends, and finds those that serve the address on. In doubt there is none. Of two that
+    /// end at once neither counts for the other: each says so first.
+    pub fn end(self) -> Ending {
+        let _ = std::fs::rename(self.path(SERVES), self.path(ENDS));
+        let group = self.processes();
+        Ending { mark: self, group }
+    }
+
+    fn prefix(&self, word: &str) -> String {
+        format!("hollowpaddle-{word}-{}-", self.at)
+    }
+
+    fn file(&self, word: &str) -> String {
+        format!("{}{}", self.prefix(word), self.name)
+    }
+
+    fn path(&self, word: &str) -> PathBuf {
+        self.folder.join(self.file(word))
+    }
+
+    /// All processes that live at the address, this one too, in the order in which they began.
+    fn processes(&self) -> Vec<Process> {
+        let Ok(files) = std::fs::read_dir(&self.folder) else { return Vec::new() };
+        let (serves, ends) = (self.prefix(SERVES), self.prefix(ENDS));
+        let read = |file: std::fs::DirEntry| {
+            let word = file.file_name();
+            let word = word.to_string_lossy();
+            let name = word.strip_prefix(&serves).or_else(|| word.strip_prefix(&ends))?.to_owned();
+            let serves = word.starts_with(&serves);
+            held(&file.path()).then_some(Process { name, serves })
+        };
+        let mut found: Vec<_> = files.filter_map(|file| read(file.ok()?)).collect();
+        found.sort_by(|a, b| a.name.cmp(&b.name));
+        // Renamed while the folder is read, one may show up under either word, and ends.
+        found.dedup_by(|a, b| {
+            let same = a.name == b.name;
+            b.serves &= !same || a.serves;
+            same
         });
-        Self { folder, prefix, name, _locked: locked.ok() }
+        found
     }
+}
+
+/// A process at the address, by its mark.
+#[derive(Clone, Debug)]
+struct Process {
+    name: String,
+    serves: bool,
+}
+
+/// The end of this process's service at an address, until it is dropped.
+pub struct Ending {
+    mark: Mark,
+    /// Those that listen at the address in the kernel's order: who begins is its last, and where one leaves, the last
+    /// takes its place.
+    group: Vec<Process>,
+}
 
-    /// Takes the mark away.
-    pub fn take_back(&self) {
-        let _ = std::fs::remove_file(self.folder.join(&self.name));
+impl Drop for Ending {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(self.mark.path(ENDS));
     }
+}
 
-    /// Takes the mark away, and tells whether another process goes on serving the address. In doubt there is none.
-    /// Of two that end at once neither counts for the other: each takes its own away first.
+impl Ending {
+    /// Whether another process goes on serving the address.
     pub fn succeeded(&self) -> bool {
-        self.take_back();
-        let Ok(files) = std::fs::read_dir(&self.folder) else { return false };
-        let files = files.filter_map(Result::ok);
-        let mut others =
-            files.filter(|f| f.file_name().to_string_lossy().starts_with(&self.prefix));
-        others.any(|other| held(&other.path()))
+        self.group.iter().any(|process| process.serves)
+    }
+
+    /// Leads new connections to a process that stays, and waits until those that are coming up here have come: what a
+    /// close finds in its queue is reset. What is returned has to outlive the listener. Where the kernel can't be
+    /// told, or a third process has left the address before, they are spread by hash until the close, as always.
+    pub async fn lead_away(&mut self, listener: &TcpListener) -> Option<File> {
+        let turn = self.turn().await;
+        let mut led = None;
+        loop {
+            self.look_again();
+            let stays = |(_, process): &(usize, &Process)| process.serves;
+            let newest = |(_, process): &(usize, &Process)| process.name.clone();
+            let to = self.group.iter().enumerate().filter(stays).max_by_key(newest);
+            let Some(to) = to.and_then(|(place, _)| u32::try_from(place).ok()) else { break };
+            if led == Some(to) {
+                break;
+            }
+            if let Err(cause) = lead(listener, to) {
+                tracing::debug!(%cause, "connections are not led away");
+                break;
+            }
+            led = Some(to);
+            sleep(SETTLE).await;
+        }
+        turn
+    }
+
+    /// Waits while another process ends at the address, so that the group is what it was found to be.
+    async fn turn(&self) -> Option<File> {
+        let file = File::create(self.mark.folder.join(self.mark.prefix("turn"))).ok()?;
+        let until = Instant::now() + TURN;
+        while Instant::now() < until {
+            match file.try_lock() {
+                Ok(()) => return Some(file),
+                Err(TryLockError::WouldBlock) => sleep(LOOK).await,
+                Err(TryLockError::Error(_)) => return None,
+            }
+        }
+        None
+    }
+
+    /// Takes over who has come, gone, or ends by now.
+    fn look_again(&mut self) {
+        let mut now = self.mark.processes();
+        let mut place = 0;
+        while let Some(known) = self.group.get_mut(place) {
+            match now.iter().position(|process| process.name == known.name) {
+                Some(found) => {
+                    *known = now.remove(found);
+                    place += 1;
+                }
+                None => drop(self.group.swap_remove(place)),
+            }
+        }
+        self.group.append(&mut now);
     }
 }
 
+/// Leads all new connections of the address to the listener at this place of its group.
+fn lead(listener: &TcpListener, place: u32) -> nix::Result<()> {
+    // The program's whole text: "return place".
+    let code = (libc::BPF_RET | libc::BPF_K) as u16;
+    let mut text = [libc::sock_filter { code, jt: 0, jf: 0, k: place }];
+    let program = libc::sock_fprog { len: 1, filter: text.as_mut_ptr() };
+    setsockopt(listener, sockopt::AttachReusePortCbpf, &program)
+}
+
 /// Makes a file that is locked before others can find it.
 fn lock(folder: &Path, name: &str) -> std::io::Result<File> {
     let unfinished = folder.join(format!(".{name}"));
@@ -90,3 +228,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
