--- a/src/release/gates/tests.rs
+++ b/src/release/gates/tests.rs
@@ -1,3 +1,8 @@
+use std::collections::BTreeMap;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
 use super::*;
 
 fn seen(attempts: u64, errors: u64, ms: u64) -> Seen {
@@ -38,3 +43,38 @@
     let some = Latencies([(1000, 90), (2000, 100), (4000, 100)].into());
     assert_eq!(some.p99(), Some(1900.0));
 }
+
+/// Answers of 10 ms and an exponential rest with this mean, drawn anew.
+fn drawn(rng: &mut StdRng, slower_ms: f64, count: u64) -> Latencies {
+    // As the proxies' figures have them: each bound a third above the one before.
+    let mut bounds: BTreeMap<u64, u64> =
+        (0..35).map(|i| ((1000.0 * f64::powi(4.0 / 3.0, i)) as u64, 0)).collect();
+    for _ in 0..count {
+        let rest: f64 = -2.0 * (1.0 - rng.gen_range(0.0..1.0_f64)).ln();
+        let us = ((10.0 + slower_ms + rest) * 1000.0) as u64;
+        bounds.range_mut(us..).for_each(|(_, n)| *n += 1);
+    }
+    Latencies(bounds)
+}
+
+#[test]
+fn a_version_as_quick_as_the_one_before_passes_and_one_that_is_slow_never_does() {
+    let gates = Gates::default();
+    // As few answers as are judged at all, and the stage before from no more.
+    let fewest = gates.min_requests * 5;
+    let judged = |rng: &mut StdRng, slower_ms: f64| {
+        let before = drawn(rng, 0.0, fewest).p99();
+        let latencies = drawn(rng, slower_ms, fewest);
+        let new = Seen { attempts: fewest, errors: 0, latencies };
+        judge(&gates, &Observation { new, ..Observation::default() }, before, false)
+    };
+    for seed in 0..2_000 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let (same, slow) = (judged(&mut rng, 0.0), judged(&mut rng, 60.0));
+        assert!(matches!(same, Judgement::Sound(Some(_))), "seed {seed}: {same:?}");
+        assert!(
+            matches!(&slow, Judgement::Broken(why) if why.contains("latency")),
+            "seed {seed}: {slow:?}"
+        );
+    }
+}
