A failing test: a request is sent on for a client that closed while the process stood still

Reproduction, one proxy and two upstreams over loopback: the process is held by SIGSTOP, the client closes, and 0.25 s later SIGCONT lets the process find the close and its next reason to send in the same moment. Four places of a request (waiting for a slot, turned away, pipelined behind another, not accepted yet) times eight ways to leave.

--- a/tests/crossings/mod.rs
+++ b/tests/crossings/mod.rs
@@ -2,6 +2,7 @@
 //! turns to something else. Each is made to come there every time, by a peer that holds back until it is let go.
 
 mod answers;
+mod left_clients;
 mod takeovers;
 
 use std::io::{BufRead, BufReader, Read, Write};
