An attempt asks the kernel for its client's close right before its first byte

Cause: a send rested on the last close that the client's own task had read. Nobody reads once hyper holds bytes of a further request; the look for a close beside it comes every 30 ms and wants to see it twice, so that after a stall, on a connection accepted late or behind a pipelined request the attempt went out first. live was cleared by Note::Left alone. Class of fault: decided on what was known, done on what is so now. Change: src/invariants decides on facts whether an attempt may begin, a request may be taken, a connection may be closed, and counts broken rules (violations_total at /metrics, 'violation' in the log). src/bin/hollowpaddle/guard.rs gathers the facts: poll(2) with POLLRDHUP on the client's socket, the upstream's state and address, the window, the deadline told. Asked by the engine before each attempt, after the wait for a connection, and in the write of the first byte, where nothing can come between; checked again after the write. A denied write ends the connection unused. Why it works: the kernel knows of a close before any task, also behind unread bytes; a stall between the check and the write is the only gap left, and the check after it counts that.

--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -1,6 +1,6 @@
 //! The side that faces clients: an HTTP server that reads requests, asks the engine, and answers once.
 
-use std::cell::{Cell, OnceCell, RefCell};
+use std::cell::{Cell, OnceCell};
 use std::convert::Infallible;
 use std::future::Future;
 use std::io::ErrorKind;
@@ -9,6 +9,8 @@
 
 use bytes::Bytes;
 use hollowpaddle::interface::{Effect, Span};
+use hollowpaddle::invariants::permit::{self, CloseFacts};
+use hollowpaddle::invariants::violations::{Rule, Violations};
 use hollowpaddle::services::{Service, ServiceId};
 use hollowpaddle::settings::key_hash;
 use hyper::body::{Body, Incoming};
@@ -27,6 +29,7 @@
 use crate::bodies::{AnswerBody, Broken, KEPT, LARGEST, Memory, Payload, Upload};
 use crate::engine::{Arrival, Handle, Reply};
 use crate::lifecycle::{LINGER, Lifecycle};
+use crate::socket::{Peer, Socket};
 use crate::succession::Mark;
 use crate::talk::{self, Talk, Turn, Watched};
 use crate::upstreams::Forward;
@@ -183,23 +186,23 @@
     /// All requests of one connection.
     async fn converse(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let stream = Rc::new(RefCell::new(TokioIo::new(stream)));
-        let over = self.talk_with(&stream).await;
-        if let (Over::Served, Some(stream)) = (over, Rc::into_inner(stream)) {
-            talk::close(stream.into_inner().into_inner(), self.crowded()).await;
+        let socket = Socket::new(stream);
+        let over = self.talk_with(&socket).await;
+        if let (Over::Served, Some(stream)) = (over, socket.into_inner()) {
+            talk::close(stream, self.crowded()).await;
         }
         self.open.set(self.open.get() - 1);
     }
 
-    async fn talk_with(&self, stream: &talk::Shared) -> Over {
+    async fn talk_with(&self, socket: &Socket) -> Over {
         let talk = Rc::new(Talk::new());
-        let service = service_fn(|request| self.respond(request, &talk));
-        let watched = Watched { inner: stream.clone(), talk: talk.clone() };
+        let service = service_fn(|request| self.respond(request, socket, &talk));
+        let watched = Watched { inner: TokioIo::new(socket.clone()), talk: talk.clone() };
         let connection =
             http1::Builder::new().max_buf_size(HEAD_LIMIT).serve_connection(watched, service);
         tokio::pin!(connection);
-        let lost = talk.lost(stream, || self.crowded(), &self.crowd);
-        let left = talk.left(stream);
+        let lost = talk.lost(socket, || self.crowded(), &self.crowd);
+        let left = talk.left(socket);
         let time_to_close = self.lifecycle.time_to_close();
         tokio::pin!(lost, left, time_to_close);
         let mut closing = false;
@@ -213,7 +216,7 @@
                 () = &mut lost => return Over::Lost,
                 () = &mut left => return Over::Left,
                 () = &mut time_to_close, if !closing => {
-                    if talk.asks_again(stream) {
+                    if talk.asks_again(socket) {
                         // Its answer tells the client to go; closed now, hyper would forget what has come of it.
                         time_to_close.set(self.lifecycle.time_to_close());
                     } else {
@@ -232,11 +235,21 @@
     async fn respond(
         &self,
         request: Request<Incoming>,
+        socket: &Socket,
         talk: &Rc<Talk>,
     ) -> Result<Answer, Infallible> {
         let turn = Rc::new(talk.turn());
         let routing = self.engine.routing();
-        let owed = Owed(request.headers().get("x-request-id").cloned());
+        let owed = Owed {
+            request: request.headers().get("x-request-id").cloned(),
+            client: socket.peer(),
+            violations: self.figures.violations.clone(),
+            answered: false,
+        };
+        if let Err(denial) = permit::start(socket.peer_closed()) {
+            tracing::debug!(request = owed.id(), %denial, "a request is not taken");
+            return Ok(bare(StatusCode::BAD_REQUEST));
+        }
         let path = request.uri().path();
         let mut answer = if path == "/-/ready" {
             let ready = self.engine.ready() && self.lifecycle.address_served();
@@ -244,7 +257,7 @@
         } else if routing.catalog.is_single() && path != "/api" && !path.starts_with("/api/") {
             bare(StatusCode::NOT_FOUND)
         } else if let Some(place) = routing.find(host(&request), path) {
-            self.serve_one(request, place, &turn).await
+            self.serve_one(request, place, socket.peer(), &turn).await
         } else {
             no_route(host(&request), path)
         };
@@ -261,6 +274,7 @@
         &self,
         request: Request<Incoming>,
         (place, service): (ServiceId, &Service),
+        client: Peer,
         turn: &Rc<Turn>,
     ) -> Answer {
         let (head, body) = request.into_parts();
@@ -301,6 +315,7 @@
             headers: onward(head.headers, length),
             body: Payload { kept, rest, length, _hold: hold },
             until: Cell::new(arrival.until),
+            client,
         };
         let reply = match self.engine.ask(arrival, forward, &take).await {
             Ok(reply) => reply,
@@ -385,19 +400,35 @@
     answer
 }
 
-/// Names a request whose connection ends before its answer, by the id that its client gave it.
-struct Owed(Option<HeaderValue>);
+/// A request that was read and has no answer yet. Where its connection ends first, it is named by the id that its
+/// client gave it, and counts as a broken rule unless the client has closed.
+struct Owed {
+    request: Option<HeaderValue>,
+    client: Peer,
+    violations: Violations,
+    answered: bool,
+}
 
 impl Owed {
+    fn id(&self) -> Option<&str> {
+        self.request.as_ref().and_then(|id| id.to_str().ok())
+    }
+
     fn answered(mut self) {
-        self.0 = None;
+        self.answered = true;
     }
 }
 
 impl Drop for Owed {
     fn drop(&mut self) {
-        if let Some(request) = self.0.as_ref().and_then(|id| id.to_str().ok()) {
-            tracing::info!(request, "its connection ended before its answer");
+        if self.answered {
+            return;
+        }
+        tracing::info!(request = self.id(), "its connection ended before its answer");
+        let closing =
+            CloseFacts { client_closed: self.client.has_closed(), unanswered: true, unread: false };
+        if permit::close(&closing).is_err() {
+            self.violations.count(Rule::ClosedUnanswered, self.id());
         }
     }
 }
--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -18,6 +18,7 @@
 use hollowpaddle::interface::{
     Action, Event, ListKind, Outcome, RequestId, ServerId, Span, Status, Time,
 };
+use hollowpaddle::invariants::permit::Denial;
 use hollowpaddle::services::{
     Catalog, Change, ReloadError, Routing, Service, ServiceId, Services, Told,
 };
@@ -29,6 +30,7 @@
 
 use crate::bodies::{Broken, Served};
 use crate::config::Config;
+use crate::guard::AttemptGuard;
 use crate::upstreams::{Ended, Forward, Pool, Target};
 
 /// The module works to this much less than the client's deadline, so that an answer at the deadline still
@@ -423,12 +425,8 @@
                 self.arrived(id, arrival, forward, reply);
             }
             Note::Left(id) => {
-                let Some(held) = self.requests.get_mut(&id) else { return };
-                if held.reply.take().is_some() {
-                    held.live.set(false);
-                    let service = held.service;
-                    self.tell(service, Event::Left(id));
-                }
+                self.left(id);
+                self.catch_up();
                 self.forget(id);
             }
             Note::Whole(id) => self.whole(id),
@@ -557,6 +555,16 @@
         self.tell(service, Event::Request(request));
     }
 
+    /// Its client has closed its connection: nothing more is begun for it.
+    fn left(&mut self, id: RequestId) {
+        let Some(held) = self.requests.get_mut(&id) else { return };
+        if held.reply.take().is_some() {
+            held.live.set(false);
+            let service = held.service;
+            self.handle(service, Event::Left(id));
+        }
+    }
+
     /// The last byte of its body has come: its time runs from here.
     fn whole(&mut self, id: RequestId) {
         let Some(held) = self.requests.get_mut(&id) else { return };
@@ -613,6 +621,10 @@
     }
 
     fn ended(&mut self, id: RequestId, attempt: usize, ended: Ended) {
+        if ended.denial == Some(Denial::ClientClosed) {
+            // Its connection's task has not come to read the close yet.
+            self.left(id);
+        }
         let Some(held) = self.requests.get_mut(&id) else { return };
         let Some(tried) = held.attempts.get_mut(attempt) else { return };
         tried.task = None;
@@ -742,10 +754,15 @@
         };
         let (pool, notes) = (self.pool.clone(), self.own_notes.clone());
         let (forward, live) = (held.forward.clone(), held.live.clone());
-        let before = self.clock.instant(before);
+        let (before, violations) = (self.clock.instant(before), self.figures.violations.clone());
+        let guard = AttemptGuard::new(forward, live, target, before, violations);
+        if let Err(denial) = guard.check() {
+            held.attempts.push(tried);
+            self.later.push_back((id, attempt, Ended::denied(denial)));
+            return;
+        }
         tried.task = Some(AbortOnDrop(tokio::task::spawn_local(async move {
-            let live = || live.get() && Instant::now() < before;
-            let ended = pool.attempt(server, &target, &forward, until, live).await;
+            let ended = pool.attempt(server, &guard, until).await;
             let _ = notes.send(Note::Ended { id, attempt, ended });
         })));
         held.attempts.push(tried);
--- a/src/bin/hollowpaddle/engine/tests.rs
+++ b/src/bin/hollowpaddle/engine/tests.rs
@@ -4,11 +4,13 @@
 use hollowpaddle::settings::Facts;
 use hyper::{HeaderMap, Method, Uri};
 use serde_json::{Value, json};
+use tokio::net::TcpStream;
 use tokio::task::LocalSet;
 use tokio::time::timeout;
 
 use super::*;
 use crate::bodies::{Memory, Payload};
+use crate::socket::Socket;
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -55,10 +57,20 @@
         facts,
     };
     let figures = Figures::new(false);
-    let pool = Pool::new(16, &config, figures.tries.clone(), Memory::new(1 << 20));
+    let pool = Pool::new(16, &config, &figures, Memory::new(1 << 20));
     Engine::new(&config, pool, figures, None).expect("an engine")
 }
 
+/// A connection with a client, and the client's end of it.
+fn connected() -> (Socket, std::net::TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let client = std::net::TcpStream::connect(address).expect("it listens");
+    let (stream, _) = listener.accept().expect("it has connected");
+    stream.set_nonblocking(true).expect("a socket");
+    (Socket::new(TcpStream::from_std(stream).expect("a runtime")), client)
+}
+
 /// In virtual time, which passes only where nothing is left to do: how busy the machine is does not come in.
 /// The same with sockets, and with the client at the other end: `tests/node.rs`.
 #[test]
@@ -69,6 +81,7 @@
     let mut runtime = tokio::runtime::Builder::new_current_thread();
     let runtime = runtime.enable_all().start_paused(true).build().expect("a runtime");
     LocalSet::new().block_on(&runtime, async {
+        let (client, _peer) = connected();
         // The aim, 2 s, is later than each deadline, so that only the deadline can end it.
         for (deadline, module) in [(1500, 1485), (900, 885)] {
             let (engine, handle) = engine(address);
@@ -91,6 +104,7 @@
                 headers: HeaderMap::new(),
                 body: Payload { kept, length: Some(1), ..Payload::default() },
                 until: Cell::new(until),
+                client: client.peer(),
             };
             let from = Instant::now();
             let reply = timeout(deadline * MS, handle.ask(arrival, forward, || ())).await;
--- a/src/bin/hollowpaddle/main.rs
+++ b/src/bin/hollowpaddle/main.rs
@@ -8,8 +8,10 @@
 mod clients;
 mod config;
 mod engine;
+mod guard;
 mod lifecycle;
 mod management;
+mod socket;
 mod succession;
 mod talk;
 mod upstreams;
@@ -130,7 +132,7 @@
     let keeper = config.state_dir.as_deref().map(Keeper::open).transpose();
     let keeper = keeper.map_err(|e| format!("state_dir: {e}"))?;
     let memory = Memory::new(config.memory / KEPT_OF_MEMORY);
-    let pool = Pool::new(budget.upstreams, &config, figures.tries.clone(), memory.clone());
+    let pool = Pool::new(budget.upstreams, &config, &figures, memory.clone());
     let (engine, handle) = Engine::new(&config, pool, figures.clone(), keeper)
         .map_err(|e| format!("settings: {e}"))?;
     let engine = tokio::task::spawn_local(engine.run());
--- /dev/null
+++ b/src/bin/hollowpaddle/socket/mod.rs
@@ -0,0 +1,158 @@
+//! A TCP connection of either side, and what the kernel knows of its peer.
+
+use std::cell::RefCell;
+use std::io::{ErrorKind, IoSlice};
+use std::mem::MaybeUninit;
+use std::os::fd::AsFd;
+use std::pin::{Pin, pin};
+use std::rc::{Rc, Weak};
+use std::task::{Context, Poll, Waker};
+
+use nix::errno::Errno;
+use nix::libc;
+use nix::poll::{PollFd, PollFlags, PollTimeout, poll};
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::net::TcpStream;
+
+/// What waits to be read on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unread {
+    /// No byte, and no end.
+    Nothing,
+    /// One byte or more; an end may follow them.
+    Bytes,
+    /// The peer's close, or a reset.
+    End,
+}
+
+/// A connection, shared by whoever serves it and whoever looks after it.
+#[derive(Clone, Debug)]
+pub struct Socket(Rc<RefCell<TcpStream>>);
+
+impl Socket {
+    /// Takes over a connection of the runtime's.
+    pub fn new(stream: TcpStream) -> Self {
+        Self(Rc::new(RefCell::new(stream)))
+    }
+
+    /// The connection itself, once nobody else shares it.
+    pub fn into_inner(self) -> Option<TcpStream> {
+        Rc::into_inner(self.0).map(RefCell::into_inner)
+    }
+
+    /// A view of the peer that does not keep the connection open.
+    pub fn peer(&self) -> Peer {
+        Peer(Rc::downgrade(&self.0))
+    }
+
+    /// What waits to be read, as the kernel knows it now: what the runtime has seen may be a moment old.
+    pub fn unread(&self) -> Unread {
+        unread(&self.0.borrow())
+    }
+
+    /// Whether the peer has closed its end, or all of the connection, as the kernel knows it now; bytes before that
+    /// may be unread.
+    pub fn peer_closed(&self) -> bool {
+        peer_closed(&self.0.borrow())
+    }
+}
+
+/// The peer of a connection, for as long as the connection is open here.
+#[derive(Clone, Debug, Default)]
+pub struct Peer(Weak<RefCell<TcpStream>>);
+
+impl Peer {
+    /// Whether the peer has closed its end, or the connection has ended here.
+    pub fn has_closed(&self) -> bool {
+        self.0.upgrade().is_none_or(|stream| peer_closed(&stream.borrow()))
+    }
+
+    /// What waits to be read; the end, where the connection has ended here.
+    pub fn unread(&self) -> Unread {
+        self.0.upgrade().map_or(Unread::End, |stream| unread(&stream.borrow()))
+    }
+}
+
+fn unread(stream: &TcpStream) -> Unread {
+    loop {
+        match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
+            Ok(0) => return Unread::End,
+            Ok(_) => return Unread::Bytes,
+            Err(cause) if cause.kind() == ErrorKind::Interrupted => {}
+            Err(cause) if is_shortage(&cause) => return Unread::Nothing,
+            Err(_) => return Unread::End,
+        }
+    }
+}
+
+/// Whether a call failed by what the system lacks at the moment, or would have had to wait.
+fn is_shortage(cause: &std::io::Error) -> bool {
+    let lacking = [libc::ENOBUFS, libc::ENOMEM].map(Some).contains(&cause.raw_os_error());
+    lacking || cause.kind() == ErrorKind::WouldBlock
+}
+
+fn peer_closed(stream: &TcpStream) -> bool {
+    told_closed(stream) || unread(stream) == Unread::End || seen_closed(stream)
+}
+
+/// Asks the kernel, which tells a close also behind unread bytes.
+fn told_closed(stream: &TcpStream) -> bool {
+    // An error and a full hang-up are told unasked.
+    let closes = PollFlags::from_bits_retain(libc::POLLRDHUP);
+    let mut asked = [PollFd::new(stream.as_fd(), closes)];
+    loop {
+        match poll(&mut asked, PollTimeout::ZERO) {
+            Ok(told) => return told > 0,
+            Err(Errno::EINTR) => {}
+            Err(_) => return false,
+        }
+    }
+}
+
+/// What the runtime has seen of it.
+fn seen_closed(stream: &TcpStream) -> bool {
+    let state =
+        pin!(stream.ready(Interest::READABLE)).poll(&mut Context::from_waker(Waker::noop()));
+    matches!(state, Poll::Ready(Ok(state)) if state.is_read_closed())
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_read(cx, buffer)
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_write_vectored(cx, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut *self.0.borrow_mut()).poll_shutdown(cx)
+    }
+}
--- a/src/bin/hollowpaddle/talk.rs
+++ b/src/bin/hollowpaddle/talk.rs
@@ -1,22 +1,22 @@
 //! How far a client's connection has come, and when its peer has kept it waiting for too long.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::future::{Future, poll_fn};
 use std::io::ErrorKind;
-use std::mem::MaybeUninit;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::task::{Context, Poll, Waker, ready};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
-use tokio::io::{AsyncWriteExt, Interest};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
+use crate::socket::{Socket, Unread};
+
 /// How long a connection may idle between two requests while there is room for others; and while the table of
 /// clients fills up.
 /// Failure: peers that sent nothing, or never all of it, kept their connections until the table of clients was
@@ -89,14 +89,14 @@
 
     /// Waits until its peer has had all the time it gets. `crowded` tells whether others want its place, and `crowd`
     /// when they all of a sudden do.
-    pub async fn lost(&self, stream: &Shared, crowded: impl Fn() -> bool, crowd: &Notify) {
+    pub async fn lost(&self, socket: &Socket, crowded: impl Fn() -> bool, crowd: &Notify) {
         let mut looked = false;
         loop {
             let now = Instant::now();
             let at = self.limit(crowded()).unwrap_or(now + LOOK);
             if at <= now {
                 // What has come by now is read first, once; that tells whether there is more time.
-                if !std::mem::replace(&mut looked, true) && has_come(stream) {
+                if !std::mem::replace(&mut looked, true) && has_come(socket) {
                     sleep(LOOK_AGAIN).await;
                     continue;
                 }
@@ -120,14 +120,14 @@
     }
 
     /// Whether part of a further request has come, read or not.
-    pub fn asks_again(&self, stream: &Shared) -> bool {
-        let unread = || matches!(self.doing.get(), Doing::Idle(_)) && has_come(stream);
+    pub fn asks_again(&self, socket: &Socket) -> bool {
+        let unread = || matches!(self.doing.get(), Doing::Idle(_)) && has_come(socket);
         self.kept.get() && (matches!(self.doing.get(), Doing::Asking(_)) || unread())
     }
 
     /// Waits until the peer has closed its end while a request of it is served and nobody reads. Has to be polled
     /// by the task that serves the connection, after it.
-    pub async fn left(&self, stream: &Shared) {
+    pub async fn left(&self, socket: &Socket) {
         let mut look = pin!(sleep(LOOK_FOR_CLOSE));
         let mut closed = false;
         poll_fn(|cx| {
@@ -139,7 +139,7 @@
                 ready!(look.as_mut().poll(cx));
                 look.as_mut().reset(Instant::now() + LOOK_FOR_CLOSE);
                 // Seen twice: an end that was read, as of a body cut short, is answered by then.
-                if std::mem::replace(&mut closed, has_closed(&stream.borrow())) && closed {
+                if std::mem::replace(&mut closed, socket.peer_closed()) && closed {
                     return Poll::Ready(());
                 }
             }
@@ -191,28 +191,11 @@
     }
 }
 
-/// A client's connection, for whoever serves it and whoever looks after it.
-pub type Shared = Rc<RefCell<TokioIo<TcpStream>>>;
-
-/// Whether bytes of the peer wait to be read. Asked directly: what the runtime has seen of the connection may be a
-/// moment old.
+/// Whether bytes of the peer wait to be read.
 /// Failure: a request that came in the very moment in which its connection had idled for too long, or in which the
 /// process stood still, was closed upon.
-fn has_come(stream: &Shared) -> bool {
-    let stream = stream.borrow();
-    SockRef::from(stream.inner()).peek(&mut [MaybeUninit::uninit()]).is_ok_and(|n| n > 0)
-}
-
-/// Whether the peer has closed its end, or all of the connection; bytes before that may be unread.
-fn has_closed(stream: &TokioIo<TcpStream>) -> bool {
-    let stream = stream.inner();
-    let next = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
-    if next.map_or_else(|e| e.kind() != ErrorKind::WouldBlock, |n| n == 0) {
-        return true;
-    }
-    let state =
-        pin!(stream.ready(Interest::READABLE)).poll(&mut Context::from_waker(Waker::noop()));
-    matches!(state, Poll::Ready(Ok(state)) if state.is_read_closed())
+fn has_come(socket: &Socket) -> bool {
+    socket.unread() == Unread::Bytes
 }
 
 /// Closes our end and reads on for a moment (RFC 9112, 9.6): closed over bytes that nobody read, a connection is
@@ -234,17 +217,17 @@
 
 /// A stream that tells what its peer does.
 pub struct Watched {
-    pub inner: Shared,
+    pub inner: TokioIo<Socket>,
     pub talk: Rc<Talk>,
 }
 
 impl Read for Watched {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: ReadBufCursor<'_>,
     ) -> Poll<std::io::Result<()>> {
-        let read = Pin::new(&mut *self.inner.borrow_mut()).poll_read(cx, buf);
+        let read = Pin::new(&mut self.inner).poll_read(cx, buf);
         self.talk.read.set(read.is_pending());
         if let (Doing::Idle(_), Poll::Ready(Ok(()))) = (self.talk.doing.get(), &read) {
             self.talk.doing.set(Doing::Asking(Instant::now()));
@@ -255,35 +238,35 @@
 
 impl Write for Watched {
     fn poll_write(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        let written = Pin::new(&mut *self.inner.borrow_mut()).poll_write(cx, buf);
+        let written = Pin::new(&mut self.inner).poll_write(cx, buf);
         self.talk.wrote(written.is_pending());
         written
     }
 
     fn poll_write_vectored(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        let written = Pin::new(&mut *self.inner.borrow_mut()).poll_write_vectored(cx, bufs);
+        let written = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
         self.talk.wrote(written.is_pending());
         written
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.inner.borrow().is_write_vectored()
+        self.inner.is_write_vectored()
     }
 
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut *self.inner.borrow_mut()).poll_flush(cx)
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut *self.inner.borrow_mut()).poll_shutdown(cx)
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
     }
 }
 
--- a/src/bin/hollowpaddle/upstreams.rs
+++ b/src/bin/hollowpaddle/upstreams.rs
@@ -2,16 +2,17 @@
 
 use std::cell::{Cell, RefCell};
 use std::future::Future;
-use std::io::ErrorKind;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use hollowpaddle::figures::Figures;
 use hollowpaddle::interface::{Outcome, Report, ServerId};
+use hollowpaddle::invariants::permit::Denial;
+use hollowpaddle::invariants::violations::Violations;
 use hollowpaddle::settings::Field;
 use hollowpaddle::tasks::AbortOnDrop;
 use http_body_util::BodyExt;
@@ -23,12 +24,13 @@
 use hyper_util::rt::TokioIo;
 use prometheus_client::metrics::counter::Counter;
 use rustc_hash::FxHashMap;
-use socket2::SockRef;
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::net::TcpSocket;
 use tokio::time::{Instant, Sleep, sleep, sleep_until, timeout, timeout_at};
 
 use crate::bodies::{BUFFER, Broken, Due, KEPT, Memory, Outgoing, Payload, Served};
 use crate::config::Config;
+use crate::guard::AttemptGuard;
+use crate::socket::{Peer, Socket, Unread};
 use crate::succession::SOCKET_BUFFER;
 
 /// Idle connections are dropped at this share of the upstream's own limit: a request that crosses with its
@@ -64,6 +66,8 @@
     pub body: Payload,
     /// When its client gives up; set anew once its body is whole.
     pub until: Cell<Instant>,
+    /// Who waits for the answer.
+    pub client: Peer,
 }
 
 impl Forward {
@@ -79,11 +83,18 @@
     pub report: Report,
     /// The answer, if it served.
     pub response: Option<Box<Response<Served>>>,
+    /// Why it did not begin, where its guard said no.
+    pub denial: Option<Denial>,
 }
 
 impl Ended {
     pub fn bare(outcome: Outcome) -> Self {
-        Self { outcome, report: Report::default(), response: None }
+        Self { outcome, report: Report::default(), response: None, denial: None }
+    }
+
+    /// The guard did not let it begin.
+    pub fn denied(denial: Denial) -> Self {
+        Self { denial: Some(denial), ..Self::bare(Outcome::Moot) }
     }
 }
 
@@ -104,9 +115,39 @@
     whole_at: Rc<Cell<Option<u64>>>,
     /// Attempts that were whole, on all connections.
     tries: Counter,
+    /// Of the attempt that has not begun yet.
+    guard: Rc<RefCell<Option<Rc<AttemptGuard>>>>,
+    /// Whether the attempt that is out had its guard's permission.
+    permitted: Rc<Cell<bool>>,
+    violations: Violations,
 }
 
 impl Written {
+    /// Writes what the guard of an attempt permits; its first bytes ask the guard.
+    fn guarded(
+        &self,
+        write: impl FnOnce() -> Poll<std::io::Result<usize>>,
+    ) -> Poll<std::io::Result<usize>> {
+        let guard = self.guard.take();
+        if let Some(guard) = &guard {
+            guard.check().map_err(std::io::Error::other)?;
+        }
+        let Poll::Ready(written) = write() else {
+            self.guard.replace(guard);
+            return Poll::Pending;
+        };
+        let written = written?;
+        if let Some(guard) = guard {
+            self.permitted.set(true);
+            guard.begun();
+        }
+        if !self.permitted.get() {
+            AttemptGuard::unguarded(&self.violations);
+        }
+        self.add(written);
+        Poll::Ready(Ok(written))
+    }
+
     fn add(&self, n: usize) {
         self.bytes.set(self.bytes.get() + n as u64);
         if self.whole_at.get().is_some_and(|at| self.bytes.get() >= at) {
@@ -118,51 +159,49 @@
 
 /// A stream that counts what is written.
 struct Counted {
-    inner: Rc<RefCell<TokioIo<TcpStream>>>,
+    inner: TokioIo<Socket>,
     written: Written,
 }
 
 impl Read for Counted {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: ReadBufCursor<'_>,
     ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut *self.inner.borrow_mut()).poll_read(cx, buf)
+        Pin::new(&mut self.inner).poll_read(cx, buf)
     }
 }
 
 impl Write for Counted {
     fn poll_write(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        let n = ready!(Pin::new(&mut *self.inner.borrow_mut()).poll_write(cx, buf))?;
-        self.written.add(n);
-        Poll::Ready(Ok(n))
+        let written = self.written.clone();
+        written.guarded(|| Pin::new(&mut self.inner).poll_write(cx, buf))
     }
 
     fn poll_write_vectored(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        let n = ready!(Pin::new(&mut *self.inner.borrow_mut()).poll_write_vectored(cx, bufs))?;
-        self.written.add(n);
-        Poll::Ready(Ok(n))
+        let written = self.written.clone();
+        written.guarded(|| Pin::new(&mut self.inner).poll_write_vectored(cx, bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.inner.borrow().is_write_vectored()
+        self.inner.is_write_vectored()
     }
 
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut *self.inner.borrow_mut()).poll_flush(cx)
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut *self.inner.borrow_mut()).poll_shutdown(cx)
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
     }
 }
 
@@ -170,33 +209,17 @@
 struct Link {
     sender: SendRequest<Outgoing>,
     written: Written,
-    /// Gone once the connection has ended.
-    stream: Weak<RefCell<TokioIo<TcpStream>>>,
+    peer: Peer,
     address: SocketAddr,
     idle_since: Instant,
     _connection: AbortOnDrop,
 }
 
-/// What has come on a connection on which nothing is asked.
-enum Rest {
-    Quiet,
-    /// Bytes that belong to no answer.
-    Spoken,
-    /// Its end.
-    Over,
-}
-
 impl Link {
     /// Guards against a close that has arrived and that the connection's own task has not been woken for yet:
     /// when it came in the same moment as a request, the request was written first, and was lost as a reset.
-    fn at_rest(&self) -> Rest {
-        let Some(stream) = self.stream.upgrade() else { return Rest::Over };
-        let stream = stream.borrow();
-        match SockRef::from(stream.inner()).peek(&mut [MaybeUninit::uninit()]) {
-            Err(cause) if cause.kind() == ErrorKind::WouldBlock => Rest::Quiet,
-            Ok(bytes) if bytes > 0 => Rest::Spoken,
-            _ => Rest::Over,
-        }
+    fn at_rest(&self) -> Unread {
+        self.peer.unread()
     }
 }
 
@@ -227,12 +250,13 @@
     connect_timeout: Duration,
     fields: Vec<(String, Field)>,
     tries: Counter,
+    violations: Violations,
     memory: Rc<Memory>,
 }
 
 impl Pool {
-    /// Counts in `tries` the attempts that were written whole.
-    pub fn new(most: usize, config: &Config, tries: Counter, memory: Rc<Memory>) -> Rc<Self> {
+    /// Counts in these figures the attempts that were written whole, and the rules that they broke.
+    pub fn new(most: usize, config: &Config, figures: &Figures, memory: Rc<Memory>) -> Rc<Self> {
         let limits = &config.facts.policy_limits;
         let ms = |ms: f64, default: f64| {
             let ms = if ms > 0.0 && ms < 1e7 { ms } else { default };
@@ -247,7 +271,8 @@
             idle_limit: ms(limits.keepalive, 5000.0).mul_f64(IDLE_OF_KEEPALIVE),
             connect_timeout: ms(limits.connect_timeout, 250.0),
             fields: names.iter().map(|n| (n.clone(), Field::named(n))).collect(),
-            tries,
+            tries: figures.tries.clone(),
+            violations: figures.violations.clone(),
             memory,
         });
         let weak = Rc::downgrade(&pool);
@@ -298,9 +323,9 @@
                 continue;
             }
             match link.at_rest() {
-                Rest::Quiet => return Some(link),
-                Rest::Spoken => self.spoke_out_of_turn(server, address),
-                Rest::Over => {}
+                Unread::Nothing => return Some(link),
+                Unread::Bytes => self.spoke_out_of_turn(server, address),
+                Unread::End => {}
             }
         }
         None
@@ -340,10 +365,11 @@
         socket.set_recv_buffer_size(SOCKET_BUFFER).ok()?;
         let stream = timeout(self.connect_timeout, socket.connect(address)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
-        let written = Written { tries: self.tries.clone(), ..Written::default() };
-        let stream = Rc::new(RefCell::new(TokioIo::new(stream)));
-        let weak = Rc::downgrade(&stream);
-        let io = Counted { inner: stream, written: written.clone() };
+        let (tries, violations) = (self.tries.clone(), self.violations.clone());
+        let written = Written { tries, violations, ..Written::default() };
+        let socket = Socket::new(stream);
+        let peer = socket.peer();
+        let io = Counted { inner: TokioIo::new(socket), written: written.clone() };
         let (sender, connection) =
             http1::Builder::new().max_buf_size(BUFFER).handshake(io).await.ok()?;
         let pool = Rc::downgrade(self);
@@ -362,31 +388,30 @@
         });
         let idle_since = Instant::now();
         let _connection = AbortOnDrop(task);
-        Some(Link { sender, written, stream: weak, address, idle_since, _connection })
+        Some(Link { sender, written, peer, address, idle_since, _connection })
     }
 
     /// Keeps a connection whose answer has been read, once it can take another request.
     async fn give_back(&self, server: ServerId, mut link: Link) {
         if let Ok(Ok(())) = timeout(READY, link.sender.ready()).await {
             link.idle_since = Instant::now();
+            link.written.permitted.set(false);
             self.put(server, link);
         }
     }
 
-    /// One attempt: at most one request reaches the wire. `live` is asked right before it does.
+    /// One attempt: at most one request reaches the wire. Its guard is asked right before its first byte does.
     pub async fn attempt(
         self: &Rc<Self>,
         server: ServerId,
-        target: &Target,
-        forward: &Forward,
+        guard: &Rc<AttemptGuard>,
         until: Instant,
-        live: impl Fn() -> bool,
     ) -> Ended {
         let sent = Sent::default();
         let ended = tokio::select! {
             biased;
-            ended = self.exchange(server, target, forward, until, live, &sent) => Some(ended),
-            () = overdue(forward, until, &sent) => None,
+            ended = self.exchange(server, guard, until, &sent) => Some(ended),
+            () = overdue(guard.forward(), until, &sent) => None,
         };
         ended.unwrap_or_else(|| {
             // Time ran out before all of it was handed over: it cannot have run.
@@ -397,14 +422,13 @@
     async fn exchange(
         self: &Rc<Self>,
         server: ServerId,
-        target: &Target,
-        forward: &Forward,
+        guard: &Rc<AttemptGuard>,
         until: Instant,
-        live: impl Fn() -> bool,
         sent: &Sent,
     ) -> Ended {
+        let forward = guard.forward();
         loop {
-            let address = target.address.get();
+            let address = guard.target().address.get();
             let pooled = self.take(server, address);
             let reused = pooled.is_some();
             let link = match pooled {
@@ -412,20 +436,29 @@
                 None => self.connect(server, address).await,
             };
             let Some(mut link) = link else { return Ended::bare(Outcome::ConnectFailed) };
+            guard.connected(link.address);
             // The wait for a connection may outlast the request, or the upstream's service.
-            if target.closed.get() || !live() {
-                self.put(server, link);
-                return Ended::bare(Outcome::Moot);
-            }
-            // Its upstream may have moved meanwhile, and another listen where it was.
-            if link.address != target.address.get() {
-                continue;
+            match guard.check() {
+                Ok(()) => {}
+                // Another upstream may listen where it was.
+                Err(Denial::UpstreamMoved) => continue,
+                Err(denial) => {
+                    self.put(server, link);
+                    return Ended::denied(denial);
+                }
             }
-            let Some(request) = forward.request(until, sent, &link.written) else {
+            let Some(request) = forward.request(until, sent, &link.written, guard) else {
                 return Ended::bare(Outcome::Moot);
             };
             let again = || reused && sent.untouched() && !forward.body.is_spent();
-            let answer = match link.sender.send_request(request).await {
+            let answer = link.sender.send_request(request).await;
+            match guard.denial() {
+                None => {}
+                // On another connection it is told what holds by then.
+                Some(Denial::UpstreamMoved | Denial::DeadlineStale) => continue,
+                Some(denial) => return Ended::denied(denial),
+            }
+            let answer = match answer {
                 Ok(answer) => answer,
                 // A kept connection that closed before a byte went out is no attempt yet.
                 Err(_) if again() => continue,
@@ -473,7 +506,7 @@
         };
         let response =
             serves.then(|| Box::new(Response::from_parts(head, Served { kept, rest, hold })));
-        Ended { outcome, report, response }
+        Ended { outcome, report, response, denial: None }
     }
 }
 
@@ -693,7 +726,13 @@
 }
 
 impl Forward {
-    fn request(&self, until: Instant, sent: &Sent, written: &Written) -> Option<Request<Outgoing>> {
+    fn request(
+        &self,
+        until: Instant,
+        sent: &Sent,
+        written: &Written,
+        guard: &Rc<AttemptGuard>,
+    ) -> Option<Request<Outgoing>> {
         let due = Due::default();
         let (from, of, all) = (written.bytes.get(), written.clone(), due.clone());
         let given = move || of.whole_at.set(Some(from + all.bytes.get()));
@@ -701,8 +740,10 @@
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
-        let left = until.saturating_duration_since(Instant::now()).as_millis();
-        let left = HeaderValue::from_str(&left.to_string()).ok()?;
+        let left = until.saturating_duration_since(Instant::now());
+        guard.tells(left);
+        written.guard.replace(Some(guard.clone()));
+        let left = HeaderValue::from_str(&left.as_millis().to_string()).ok()?;
         request.headers_mut().insert("x-deadline-ms", left);
         // Every name and value goes out with at least this much around it.
         let head: usize =
--- a/src/bin/hollowpaddle/upstreams/tests.rs
+++ b/src/bin/hollowpaddle/upstreams/tests.rs
@@ -16,18 +16,26 @@
 
 #[test]
 fn only_what_is_certainly_not_whole_never_ran() {
-    let forward = Forward {
+    let forward = Rc::new(Forward {
         method: Method::POST,
         uri: Uri::from_static("/api"),
         headers: HeaderMap::new(),
         body: Payload { kept: Bytes::from_static(b"0123456789"), ..Payload::default() },
         until: Cell::new(Instant::now()),
+        client: Peer::default(),
+    });
+    let nowhere = Target {
+        address: Cell::new(SocketAddr::from(([127, 0, 0, 1], 1))),
+        closed: Cell::new(false),
     };
+    let live = Rc::new(Cell::new(true));
+    let (before, violations) = (Instant::now(), Violations::default());
+    let guard = AttemptGuard::new(forward.clone(), live, Rc::new(nowhere), before, violations);
     let sent = Sent::default();
     assert!(sent.untouched() && sent.never_whole(), "no connection yet");
     let written = Written::default();
     written.bytes.set(1000); // An earlier request on the same connection.
-    assert!(forward.request(Instant::now(), &sent, &written).is_some());
+    assert!(forward.request(Instant::now(), &sent, &written, &guard).is_some());
     assert!(sent.untouched() && sent.never_whole());
     written.add(10);
     assert!(!sent.untouched() && sent.never_whole(), "head and body are longer than the body");
--- a/src/figures/mod.rs
+++ b/src/figures/mod.rs
@@ -20,6 +20,7 @@
 use serde_json::{Map, Value, json};
 
 use crate::interface::Outcome;
+use crate::invariants::violations::Violations;
 
 /// The content type of Prometheus's text format.
 const TEXT: &str = "text/plain; version=0.0.4; charset=utf-8";
@@ -142,6 +143,8 @@
     services: RefCell<FxHashMap<String, usize>>,
     /// Attempts whose last byte was handed over to an upstream; the streams to upstreams count them.
     pub tries: Counter,
+    /// Rules of the protocol that were broken.
+    pub violations: Violations,
     active: Gauge,
     pool: [Gauge; 2],
     attempts: Family<Labels, Counter>,
@@ -175,6 +178,7 @@
             "Time of attempts that were served or timed out, by upstream",
             latencies.clone(),
         );
+        let violations = Violations::registered(&mut registry);
         let (responses, services) = Default::default();
         Rc::new(Self {
             registry,
@@ -182,6 +186,7 @@
             responses,
             services,
             tries,
+            violations,
             active,
             pool,
             attempts,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod figures;
 pub mod hollow;
 pub mod interface;
+pub mod invariants;
 pub mod lease;
 pub mod logging;
 pub mod policy;
