A connection outlives an interrupted call, and a short read or write leaves nothing waiting

Cause: hyper takes EINTR for the end of the connection; tokio takes a read or write that is shorter than asked for as 'not ready' and waits for an edge that does not come. A request of which part was read so stood until the time for its head was over, and was closed upon after 2.4 s with no answer: no deadline runs before a head is whole. Change: src/socket is the I/O of both sides, of the list client, the list service and calls. It reads and writes by try_read_buf and try_write, where WouldBlock alone clears readiness, and makes a failed call again while the kernel says that the connection stands.

--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -29,11 +29,11 @@
 use crate::bodies::{AnswerBody, Broken, KEPT, LARGEST, Memory, Payload, Upload};
 use crate::engine::{Arrival, Handle, Reply};
 use crate::lifecycle::{LINGER, Lifecycle};
-use crate::socket::{Peer, Socket};
 use crate::succession::Mark;
 use crate::talk::{self, Talk, Turn, Watched};
 use crate::upstreams::Forward;
 use hollowpaddle::figures::{End, Figures};
+use hollowpaddle::socket::{Peer, Socket};
 
 /// The longest head of a request; a longer one is answered 431. hyper's own limit, some 400 KiB, times a full
 /// table of clients is more than the memory that a balancer has.
--- a/src/bin/hollowpaddle/engine/tests.rs
+++ b/src/bin/hollowpaddle/engine/tests.rs
@@ -10,7 +10,7 @@
 
 use super::*;
 use crate::bodies::{Memory, Payload};
-use crate::socket::Socket;
+use hollowpaddle::socket::Socket;
 
 const MS: Duration = Duration::from_millis(1);
 
--- a/src/bin/hollowpaddle/main.rs
+++ b/src/bin/hollowpaddle/main.rs
@@ -11,7 +11,6 @@
 mod guard;
 mod lifecycle;
 mod management;
-mod socket;
 mod succession;
 mod talk;
 mod upstreams;
--- a/src/bin/hollowpaddle/management.rs
+++ b/src/bin/hollowpaddle/management.rs
@@ -22,6 +22,7 @@
 use crate::engine::Handle;
 use crate::lifecycle::Lifecycle;
 use hollowpaddle::figures::Figures;
+use hollowpaddle::socket::Socket;
 use hollowpaddle::tasks::AbortOnDrop;
 
 /// Descriptors for calls. A whole call is answered as soon as it is read, so a full share means callers that
@@ -101,7 +102,7 @@
         let connection = http1::Builder::new()
             .keep_alive(false)
             .max_buf_size(HEAD_LIMIT)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(TokioIo::new(Socket::new(stream)), service);
         let _ = timeout(CALL_WITHIN, connection).await;
     }
 
--- a/src/bin/hollowpaddle/talk.rs
+++ b/src/bin/hollowpaddle/talk.rs
@@ -15,7 +15,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use crate::socket::{Socket, Unread};
+use hollowpaddle::socket::{Socket, Unread};
 
 /// How long a connection may idle between two requests while there is room for others; and while the table of
 /// clients fills up.
--- a/src/bin/hollowpaddle/upstreams.rs
+++ b/src/bin/hollowpaddle/upstreams.rs
@@ -30,8 +30,8 @@
 use crate::bodies::{BUFFER, Broken, Due, KEPT, Memory, Outgoing, Payload, Served};
 use crate::config::Config;
 use crate::guard::AttemptGuard;
-use crate::socket::{Peer, Socket, Unread};
 use crate::succession::SOCKET_BUFFER;
+use hollowpaddle::socket::{Peer, Socket, Unread};
 
 /// Idle connections are dropped at this share of the upstream's own limit: a request that crosses with its
 /// close would end as a reset, which no unsafe request survives.
--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -24,6 +24,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
+use crate::socket::Socket;
 use crate::tasks::AbortOnDrop;
 
 /// PROTOCOL: no body exceeds 64 KiB; nor does a head here.
@@ -176,7 +177,10 @@
         answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
         Ok::<_, Infallible>(answer)
     });
-    connection().keep_alive(false).serve_connection(TokioIo::new(stream), service).await
+    connection()
+        .keep_alive(false)
+        .serve_connection(TokioIo::new(Socket::new(stream)), service)
+        .await
 }
 
 /// A server for one connection: bounded heads, and bounded time for each.
@@ -214,7 +218,7 @@
                     Ok::<_, Infallible>(answer(Call { method: head.method, path, body }).await)
                 }
             });
-            let served = connection().serve_connection(TokioIo::new(stream), service);
+            let served = connection().serve_connection(TokioIo::new(Socket::new(stream)), service);
             if let Err(cause) = served.await {
                 tracing::debug!(%cause, "a call");
             }
@@ -259,9 +263,10 @@
         let connect = |cause| CallError::Connect(address, cause);
         let stream = TcpStream::connect(address).await.map_err(connect)?;
         stream.set_nodelay(true).map_err(connect)?;
-        let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|e| CallError::Http(address, e))?;
+        let (sender, connection) =
+            hyper::client::conn::http1::handshake(TokioIo::new(Socket::new(stream)))
+                .await
+                .map_err(|e| CallError::Http(address, e))?;
         let task = tokio::task::spawn_local(async move {
             let _ = connection.await;
         });
--- a/src/discovery/client.rs
+++ b/src/discovery/client.rs
@@ -22,6 +22,7 @@
 use super::follow::{Follow, Step, Verdict};
 use super::member::{Message, MessageError, Phase};
 use super::objects::{ObjectError, Objects};
+use crate::socket::Socket;
 use crate::tasks::{AbortOnDrop, settle};
 
 /// No object of a list is longer than this, in bytes: some ten thousand members; more is not discovery.
@@ -84,10 +85,10 @@
 ///
 /// # Errors
 /// As the system says.
-pub async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
+pub async fn connect(address: SocketAddr) -> std::io::Result<Socket> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
-    Ok(stream)
+    Ok(Socket::new(stream))
 }
 
 /// Follows the list, or the services of it that `filter` takes, until `orders` is closed. `connect` opens a connection,
--- a/src/discovery/server.rs
+++ b/src/discovery/server.rs
@@ -35,6 +35,7 @@
 use super::store::{Since, Store};
 use crate::calls::{self, LIMIT};
 use crate::replica::host::Host;
+use crate::socket::Socket;
 
 /// Lines a slow watcher may have waiting; what changes meanwhile is told in one line once it reads on.
 const QUEUED_LINES: usize = 4;
@@ -151,8 +152,8 @@
             let this = self.clone();
             async move {
                 let service = service_fn(|request| this.clone().answer(request));
-                let connection =
-                    calls::connection().serve_connection(TokioIo::new(stream), service);
+                let connection = calls::connection()
+                    .serve_connection(TokioIo::new(Socket::new(stream)), service);
                 if let Err(cause) = connection.await {
                     tracing::debug!(%cause, "connection");
                 }
--- a/src/bin/hollowpaddle/socket/mod.rs
+++ b/src/socket/mod.rs
@@ -1,12 +1,15 @@
 //! A TCP connection of either side, and what the kernel knows of its peer.
+//!
+//! Short reads and writes and interrupted calls (EINTR) are ordinary results on Linux. Tokio's stream takes a short one
+//! for "not ready" and waits for an edge that never comes; hyper takes EINTR for the end of the connection. Here
+//! `WouldBlock` alone clears readiness, and a call that failed on a connection that still stands is made again.
 
-use std::cell::RefCell;
 use std::io::{ErrorKind, IoSlice};
 use std::mem::MaybeUninit;
 use std::os::fd::AsFd;
 use std::pin::{Pin, pin};
 use std::rc::{Rc, Weak};
-use std::task::{Context, Poll, Waker};
+use std::task::{Context, Poll, Waker, ready};
 
 use nix::errno::Errno;
 use nix::libc;
@@ -15,6 +18,9 @@
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
+/// Failed calls in a row on a connection that still stands, before the failure is believed.
+const FAILURES_IN_A_ROW: u32 = 64;
+
 /// What waits to be read on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unread {
@@ -28,17 +34,17 @@
 
 /// A connection, shared by whoever serves it and whoever looks after it.
 #[derive(Clone, Debug)]
-pub struct Socket(Rc<RefCell<TcpStream>>);
+pub struct Socket(Rc<TcpStream>);
 
 impl Socket {
     /// Takes over a connection of the runtime's.
     pub fn new(stream: TcpStream) -> Self {
-        Self(Rc::new(RefCell::new(stream)))
+        Self(Rc::new(stream))
     }
 
     /// The connection itself, once nobody else shares it.
     pub fn into_inner(self) -> Option<TcpStream> {
-        Rc::into_inner(self.0).map(RefCell::into_inner)
+        Rc::into_inner(self.0)
     }
 
     /// A view of the peer that does not keep the connection open.
@@ -48,29 +54,55 @@
 
     /// What waits to be read, as the kernel knows it now: what the runtime has seen may be a moment old.
     pub fn unread(&self) -> Unread {
-        unread(&self.0.borrow())
+        unread(&self.0)
     }
 
     /// Whether the peer has closed its end, or all of the connection, as the kernel knows it now; bytes before that
     /// may be unread.
     pub fn peer_closed(&self) -> bool {
-        peer_closed(&self.0.borrow())
+        peer_closed(&self.0)
+    }
+
+    /// Whether a failed call says nothing of the connection.
+    fn still_stands(&self, cause: &std::io::Error) -> bool {
+        cause.kind() == ErrorKind::Interrupted || !self.peer_closed()
+    }
+
+    /// Makes a call until it succeeds, has to wait, or its failure is the connection's. Waits for readiness with
+    /// `ready`.
+    fn call<T>(
+        &self,
+        cx: &mut Context<'_>,
+        ready: impl Fn(&TcpStream, &mut Context<'_>) -> Poll<std::io::Result<()>>,
+        mut call: impl FnMut(&TcpStream) -> std::io::Result<T>,
+    ) -> Poll<std::io::Result<T>> {
+        let mut failures = 0;
+        loop {
+            ready!(ready(&self.0, cx))?;
+            match call(&self.0) {
+                Err(cause) if cause.kind() == ErrorKind::WouldBlock => {}
+                Err(cause) if failures < FAILURES_IN_A_ROW && self.still_stands(&cause) => {
+                    failures += 1;
+                }
+                result => return Poll::Ready(result),
+            }
+        }
     }
 }
 
 /// The peer of a connection, for as long as the connection is open here.
 #[derive(Clone, Debug, Default)]
-pub struct Peer(Weak<RefCell<TcpStream>>);
+pub struct Peer(Weak<TcpStream>);
 
 impl Peer {
     /// Whether the peer has closed its end, or the connection has ended here.
     pub fn has_closed(&self) -> bool {
-        self.0.upgrade().is_none_or(|stream| peer_closed(&stream.borrow()))
+        self.0.upgrade().is_none_or(|stream| peer_closed(&stream))
     }
 
     /// What waits to be read; the end, where the connection has ended here.
     pub fn unread(&self) -> Unread {
-        self.0.upgrade().map_or(Unread::End, |stream| unread(&stream.borrow()))
+        self.0.upgrade().map_or(Unread::End, |stream| unread(&stream))
     }
 }
 
@@ -123,7 +155,8 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_read(cx, buffer)
+        let read = self.call(cx, TcpStream::poll_read_ready, |s| s.try_read_buf(buffer));
+        read.map_ok(drop)
     }
 }
 
@@ -133,7 +166,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_write(cx, bytes)
+        self.call(cx, TcpStream::poll_write_ready, |s| s.try_write(bytes))
     }
 
     fn poll_write_vectored(
@@ -141,18 +174,18 @@
         cx: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_write_vectored(cx, slices)
+        self.call(cx, TcpStream::poll_write_ready, |s| s.try_write_vectored(slices))
     }
 
     fn is_write_vectored(&self) -> bool {
         true
     }
 
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.0).shutdown(std::net::Shutdown::Write))
     }
 }
--- a/src/stand_in/mod.rs
+++ b/src/stand_in/mod.rs
@@ -17,6 +17,7 @@
 use tokio::time::sleep;
 
 use crate::calls::{self, LIMIT};
+use crate::socket::Socket;
 
 /// How it answers.
 #[derive(Clone, Debug)]
@@ -54,7 +55,9 @@
                     Ok::<_, Infallible>(answer)
                 }
             });
-            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(Socket::new(stream)), service)
+                .await;
         }
     })
     .await;
--- a/tests/crossings/mod.rs
+++ b/tests/crossings/mod.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod left_clients;
+mod system_calls;
 mod takeovers;
 
 use std::io::{BufRead, BufReader, Read, Write};
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -3,6 +3,7 @@
 mod crossings;
 mod operations;
 mod routed;
+mod shim;
 mod sites;
 mod streams;
 mod stubs;
--- /dev/null
+++ b/tests/shim/faults.c
@@ -0,0 +1,168 @@
+/* Loaded into a process by LD_PRELOAD: lets system calls fail as Linux documents, or steps the wall clock.
+ *
+ * FAULTS       kinds, with commas between: accept, connect, socket, wait, interrupt, short, clock, disk
+ * FAULT_RATE   one call in so many fails (default 100)
+ * FAULT_SEED   which ones (default 1)
+ * FAULT_AFTER  milliseconds after the start from which on calls fail (default 0)
+ */
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/uio.h>
+#include <time.h>
+#include <unistd.h>
+
+enum kind { ACCEPT = 1, CONNECT = 2, SOCKET = 4, WAIT = 8, INTERRUPT = 16, SHORT = 32, CLOCK = 64, DISK = 128 };
+
+#define SHORTEST 1
+#define LONGEST_SHORT 7
+#define CLOCK_STEP_S 3600
+
+static const struct { const char *name; int kind; } KINDS[] = {
+    {"accept", ACCEPT}, {"connect", CONNECT}, {"socket", SOCKET}, {"wait", WAIT},
+    {"interrupt", INTERRUPT}, {"short", SHORT}, {"clock", CLOCK}, {"disk", DISK},
+};
+
+static int kinds;
+static unsigned long rate = 100;
+static long after_ms;
+static atomic_ulong draws;
+static unsigned long seed = 1;
+static struct timespec began;
+
+static int (*real_clock_gettime)(clockid_t, struct timespec *);
+
+__attribute__((constructor)) static void begin(void) {
+    real_clock_gettime = dlsym(RTLD_NEXT, "clock_gettime");
+    real_clock_gettime(CLOCK_MONOTONIC, &began);
+    const char *text = getenv("FAULTS");
+    for (size_t i = 0; text && i < sizeof KINDS / sizeof *KINDS; i++)
+        if (strstr(text, KINDS[i].name)) kinds |= KINDS[i].kind;
+    if ((text = getenv("FAULT_RATE"))) rate = strtoul(text, NULL, 10);
+    if ((text = getenv("FAULT_SEED"))) seed = strtoul(text, NULL, 10);
+    if ((text = getenv("FAULT_AFTER"))) after_ms = strtol(text, NULL, 10);
+    if (rate == 0) rate = 1;
+}
+
+static int has_begun(void) {
+    struct timespec now;
+    real_clock_gettime(CLOCK_MONOTONIC, &now);
+    return (now.tv_sec - began.tv_sec) * 1000 + (now.tv_nsec - began.tv_nsec) / 1000000 >= after_ms;
+}
+
+/* A well-mixed number for each call (splitmix64). */
+static unsigned long draw(void) {
+    unsigned long x = seed * 0x9E3779B97F4A7C15UL + atomic_fetch_add(&draws, 1) * 0xBF58476D1CE4E5B9UL;
+    x = (x ^ (x >> 30)) * 0xBF58476D1CE4E5B9UL;
+    x = (x ^ (x >> 27)) * 0x94D049BB133111EBUL;
+    return x ^ (x >> 31);
+}
+
+static int fails(int kind) { return (kinds & kind) && draw() % rate == 0 && has_begun(); }
+
+static int fail(const int *causes, size_t n) {
+    errno = causes[draw() % n];
+    return -1;
+}
+
+#define FAIL(...) fail((const int[]){__VA_ARGS__}, sizeof((const int[]){__VA_ARGS__}) / sizeof(int))
+#define REAL(name) ((typeof(&name))dlsym(RTLD_NEXT, #name))
+
+static size_t shorter(size_t n) {
+    size_t most = SHORTEST + draw() % LONGEST_SHORT;
+    return n < most ? n : most;
+}
+
+int accept4(int fd, struct sockaddr *address, socklen_t *length, int flags) {
+    if (fails(ACCEPT)) return FAIL(ECONNABORTED, EMFILE, ENFILE, ENOBUFS, EINTR);
+    return REAL(accept4)(fd, address, length, flags);
+}
+
+int connect(int fd, const struct sockaddr *address, socklen_t length) {
+    if (fails(CONNECT)) return FAIL(EADDRNOTAVAIL, ENETUNREACH, EHOSTUNREACH, EINTR, ETIMEDOUT);
+    return REAL(connect)(fd, address, length);
+}
+
+int socket(int domain, int type, int protocol) {
+    if (fails(SOCKET)) return FAIL(EMFILE, ENFILE, ENOBUFS);
+    return REAL(socket)(domain, type, protocol);
+}
+
+int epoll_wait(int fd, struct epoll_event *events, int most, int timeout) {
+    if (fails(WAIT)) return FAIL(EINTR);
+    return REAL(epoll_wait)(fd, events, most, timeout);
+}
+
+int poll(struct pollfd *fds, nfds_t n, int timeout) {
+    if (fails(WAIT)) return FAIL(EINTR);
+    return REAL(poll)(fds, n, timeout);
+}
+
+ssize_t recv(int fd, void *to, size_t n, int flags) {
+    if (fails(INTERRUPT)) return FAIL(EINTR);
+    if (n > 0 && fails(SHORT)) n = shorter(n);
+    return REAL(recv)(fd, to, n, flags);
+}
+
+ssize_t send(int fd, const void *from, size_t n, int flags) {
+    if (fails(INTERRUPT)) return FAIL(EINTR);
+    if (n > 0 && fails(SHORT)) n = shorter(n);
+    return REAL(send)(fd, from, n, flags);
+}
+
+static int is_socket(int fd) {
+    struct stat of;
+    return fstat(fd, &of) == 0 && S_ISSOCK(of.st_mode);
+}
+
+static int is_file(int fd) {
+    struct stat of;
+    return fstat(fd, &of) == 0 && S_ISREG(of.st_mode);
+}
+
+ssize_t writev(int fd, const struct iovec *from, int n) {
+    if (n > 0 && is_socket(fd)) {
+        if (fails(INTERRUPT)) return FAIL(EINTR);
+        if (fails(SHORT)) {
+            struct iovec first = from[0];
+            for (int i = 1; first.iov_len == 0 && i < n; i++) first = from[i];
+            first.iov_len = shorter(first.iov_len);
+            return REAL(writev)(fd, &first, 1);
+        }
+    }
+    return REAL(writev)(fd, from, n);
+}
+
+ssize_t write(int fd, const void *from, size_t n) {
+    if (n > 0 && (kinds & DISK) && is_file(fd) && fails(DISK)) {
+        /* Part of it is on the disk before there is no more room. */
+        if (draw() % 2 && n > 1) return REAL(write)(fd, from, shorter(n));
+        return FAIL(ENOSPC, EIO);
+    }
+    return REAL(write)(fd, from, n);
+}
+
+int fsync(int fd) {
+    if (fails(DISK)) return FAIL(EIO, ENOSPC);
+    return REAL(fsync)(fd);
+}
+
+int fdatasync(int fd) {
+    if (fails(DISK)) return FAIL(EIO, ENOSPC);
+    return REAL(fdatasync)(fd);
+}
+
+int clock_gettime(clockid_t which, struct timespec *time) {
+    int result = real_clock_gettime ? real_clock_gettime(which, time) : REAL(clock_gettime)(which, time);
+    if (result == 0 && which == CLOCK_REALTIME && (kinds & CLOCK) && has_begun())
+        time->tv_sec += seed % 2 ? CLOCK_STEP_S : -CLOCK_STEP_S;
+    return result;
+}
