After a stall a request's time runs from when it came, not from when it was read

What callers saw: a request that came while the process stood still told its upstream more time than its client had. Cause: the deadline ran from the moment at which the request was read. The engine knew a stall only by its own timer, after clients' tasks had read what had waited in the kernel. Evidence: process held by SIGSTOP around the request, 2,000 ms of deadline.

--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -101,7 +101,7 @@
             () = self.accept(&listener) => {}
             () = stop => {}
         }
-        self.engine.ending(Instant::now() + self.time_to_end());
+        self.engine.ending(self.engine.arrived() + self.time_to_end());
         // New connections still find us for a moment; where a newer process listens too, they are led to that one.
         // From here each answer asks its client to go elsewhere.
         let mut ending = mark.end();
@@ -292,7 +292,7 @@
             Err(why) => return broken(why, &id),
         };
         // The request's time runs from its last byte; while more is to come, that is still ahead.
-        let arrival = match arrival(place, service, &head, &kept, Instant::now()) {
+        let arrival = match arrival(place, service, &head, &kept, self.engine.arrived()) {
             Ok(arrival) => arrival,
             Err(what) => {
                 drain(upload, turn);
--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -31,6 +31,7 @@
 use crate::bodies::{Broken, Served};
 use crate::config::Config;
 use crate::guard::AttemptGuard;
+use crate::lateness::Lateness;
 use crate::upstreams::{Ended, Forward, Pool, Target};
 
 /// The module works to this much less than the client's deadline, so that an answer at the deadline still
@@ -121,9 +122,15 @@
     next: Rc<Cell<u64>>,
     ready: Rc<Cell<bool>>,
     routing: Rc<RefCell<Rc<Routing>>>,
+    lateness: Rc<Lateness>,
 }
 
 impl Handle {
+    /// The earliest moment at which what is read now may have come.
+    pub fn arrived(&self) -> Instant {
+        self.lateness.arrived(Instant::now())
+    }
+
     /// Which request is whose, as it is in force now.
     pub fn routing(&self) -> Rc<Routing> {
         self.routing.borrow().clone()
@@ -265,7 +272,8 @@
     ending: Option<Instant>,
     /// To the client of the list.
     orders: mpsc::UnboundedSender<Order>,
-    /// A timer that fires so late tells that the process stood still.
+    lateness: Rc<Lateness>,
+    /// A timer that fires so late tells that the process stood still for too long to know its list.
     stall: Duration,
     _client: AbortOnDrop,
     second_copies: bool,
@@ -311,11 +319,13 @@
         let (own_notes, notes) = mpsc::unbounded_channel();
         let ready = Rc::new(Cell::new(false));
         let routing = Rc::new(RefCell::new(services.routing()));
+        let lateness = Rc::new(Lateness::default());
         let handle = Handle {
             notes: own_notes.clone(),
             next: Rc::default(),
             ready: ready.clone(),
             routing: routing.clone(),
+            lateness: lateness.clone(),
         };
         let second_copies = settings.limits.second_copies;
         let max_attempts = settings.limits.max_attempts;
@@ -359,6 +369,7 @@
             keeper,
             ending: None,
             orders,
+            lateness,
             stall,
             _client: AbortOnDrop(tokio::task::spawn_local(client)),
             second_copies,
@@ -371,6 +382,7 @@
     pub async fn run(mut self) {
         loop {
             let due = self.timers.peek().map(|Reverse((at, _))| *at);
+            self.lateness.expect(due);
             let sleep = async {
                 match due {
                     Some(at) => sleep_until(at).await,
@@ -389,6 +401,7 @@
                 },
                 () = sleep => None,
             };
+            self.lateness.woke(Instant::now());
             if let Some(late) = due.map(|due| due.elapsed()).filter(|late| *late > self.stall) {
                 tracing::warn!(?late, "the process stood still");
                 // What it was told meanwhile holds, though it may come behind what it is asked.
@@ -570,7 +583,8 @@
         let Some(held) = self.requests.get_mut(&id) else { return };
         let Some(time) = held.coming.take() else { return };
         let now = Instant::now();
-        let latest = self.ending.map_or(now + time, |by| by.min(now + time));
+        let until = self.lateness.arrived(now) + time;
+        let latest = self.ending.map_or(until, |by| by.min(until));
         let room = headroom(latest, now);
         held.until = latest - room;
         held.forward.until.set(latest);
--- a/src/bin/hollowpaddle/main.rs
+++ b/src/bin/hollowpaddle/main.rs
@@ -9,6 +9,7 @@
 mod config;
 mod engine;
 mod guard;
+mod lateness;
 mod lifecycle;
 mod management;
 mod succession;
--- a/tests/crossings/answers.rs
+++ b/tests/crossings/answers.rs
@@ -174,3 +174,32 @@
     assert_eq!((answer.status(), answer.body.as_slice()), (200, &b"moved"[..]));
     assert!(nothing_came(&seen), "it was sent to where its upstream is no longer");
 }
+
+#[test]
+fn the_deadline_told_after_a_stall_is_no_more_than_the_client_has_left() {
+    let upstream = Upstream::start(|_| ok("ok"));
+    let many = (0..8).map(|i| member(&format!("s-{i}"), upstream.address, "SERVING")).collect();
+    let node = Node::start(&config(many));
+    let deadline = 2000;
+    for held in [100, 300, 600] {
+        let mut kept = node.client();
+        assert_eq!(kept.ask(&read("r0", 5000)).status(), 200);
+        upstream.request();
+        node.signal("STOP");
+        let from = Instant::now();
+        kept.send(&read("r1", deadline));
+        let mut fresh = node.client();
+        fresh.send(&alarm("r2", deadline, "x"));
+        pause(held);
+        node.signal("CONT");
+        for _ in 0..2 {
+            let (_, seen) = upstream.request();
+            let told: u64 = seen.header("x-deadline-ms").parse().expect("whole milliseconds");
+            let left = Duration::from_millis(deadline).saturating_sub(from.elapsed());
+            let bound = left + Duration::from_millis(150);
+            assert!(Duration::from_millis(told) <= bound, "{told} ms of {left:?}, held {held} ms");
+        }
+        assert_eq!(kept.answer().map(|a| a.status()), Some(200));
+        assert_eq!(fresh.answer().map(|a| a.status()), Some(200));
+    }
+}
