An aborted connection costs those behind it no wait

What callers saw: a connection that its client aborts in the backlog (ECONNABORTED), or an interrupted accept (EINTR), held up all that waited behind it for 20 ms, and 50 ms at the list service. Cause: every failed accept was taken for a full descriptor table (read, and confirmed by the table of codes below). Change: what accept(2) names as the one connection's or the call's own failure is passed over at once; want of descriptors or memory still waits 20 ms, now in one place (src/socket) for clients, operators and calls. Evidence: unit test by error code; before, one wait for all codes.

--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -33,7 +33,7 @@
 use crate::talk::{self, Talk, Turn, Watched};
 use crate::upstreams::Forward;
 use hollowpaddle::figures::{End, Figures};
-use hollowpaddle::socket::{Peer, Socket};
+use hollowpaddle::socket::{Peer, Socket, after_failed_accept};
 
 /// The longest head of a request; a longer one is answered 431. hyper's own limit, some 400 KiB, times a full
 /// table of clients is more than the memory that a balancer has.
@@ -47,8 +47,6 @@
 const LONGEST_BEFORE_KILL: Duration = Duration::from_secs(3);
 /// The last answers go out so long before.
 const BEFORE_KILL: Duration = Duration::from_millis(100);
-/// Wait after a failed accept, so that a full descriptor table does not become a busy loop.
-pub const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 /// How often a full table is looked at for room.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(1);
 /// No client waits longer than this; a figure beyond it is a mistake.
@@ -177,7 +175,7 @@
                 // Guards against EMFILE and aborted connections: neither is a reason to end.
                 Err(cause) => {
                     tracing::warn!(%cause, "accept");
-                    sleep(ACCEPT_BACKOFF).await;
+                    after_failed_accept(&cause).await;
                 }
             }
         }
--- a/src/bin/hollowpaddle/management.rs
+++ b/src/bin/hollowpaddle/management.rs
@@ -16,13 +16,12 @@
 use hyper_util::rt::TokioIo;
 use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
-use crate::clients::ACCEPT_BACKOFF;
 use crate::engine::Handle;
 use crate::lifecycle::Lifecycle;
 use hollowpaddle::figures::Figures;
-use hollowpaddle::socket::Socket;
+use hollowpaddle::socket::{Socket, after_failed_accept};
 use hollowpaddle::tasks::AbortOnDrop;
 
 /// Descriptors for calls. A whole call is answered as soon as it is read, so a full share means callers that
@@ -91,7 +90,7 @@
                 }
                 Err(cause) => {
                     tracing::warn!(%cause, "accept a call");
-                    sleep(ACCEPT_BACKOFF).await;
+                    after_failed_accept(&cause).await;
                 }
             }
         }
--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -24,15 +24,13 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
-use crate::socket::Socket;
+use crate::socket::{Socket, after_failed_accept};
 use crate::tasks::AbortOnDrop;
 
 /// PROTOCOL: no body exceeds 64 KiB; nor does a head here.
 pub const LIMIT: usize = 64 << 10;
 /// A caller that has not sent a whole head by then is let go.
 const HEAD_WITHIN: Duration = Duration::from_secs(10);
-/// Wait after a failed accept, so that a full descriptor table does not become a busy loop.
-const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 /// Descriptors that are no caller's: standard streams, listeners, event queue, the state on disk, calls to others.
 const RESERVED: usize = 64;
 /// Callers over the limit who are told so at once; the next are closed.
@@ -137,7 +135,7 @@
                 if !std::mem::replace(&mut trouble, true) {
                     tracing::warn!(%cause, "connections are not accepted");
                 }
-                tokio::time::sleep(ACCEPT_BACKOFF).await;
+                after_failed_accept(&cause).await;
                 continue;
             }
         };
--- a/src/socket/mod.rs
+++ b/src/socket/mod.rs
@@ -10,6 +10,7 @@
 use std::pin::{Pin, pin};
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, Waker, ready};
+use std::time::Duration;
 
 use nix::errno::Errno;
 use nix::libc;
@@ -17,10 +18,45 @@
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
+use tokio::time::sleep;
 
 /// Failed calls in a row on a connection that still stands, before the failure is believed.
 const FAILURES_IN_A_ROW: u32 = 64;
 
+/// Wait after an accept that failed for want of descriptors or memory: a retry at once would be a busy loop.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
+
+/// Failures of accept that concern the one connection, or the call alone (accept(2)): the next is accepted at once.
+const OF_ONE_CONNECTION: [i32; 12] = [
+    libc::EINTR,
+    libc::ECONNABORTED,
+    libc::EPERM,
+    libc::EPROTO,
+    libc::ENOPROTOOPT,
+    libc::EOPNOTSUPP,
+    libc::ENONET,
+    libc::ENETDOWN,
+    libc::ENETUNREACH,
+    libc::EHOSTDOWN,
+    libc::EHOSTUNREACH,
+    libc::ETIMEDOUT,
+];
+
+/// Whether a failed accept says nothing of the connections behind it.
+fn is_of_one_connection(cause: &std::io::Error) -> bool {
+    cause.raw_os_error().is_some_and(|code| OF_ONE_CONNECTION.contains(&code))
+}
+
+/// Waits after a failed accept until the next is worth a try.
+pub async fn after_failed_accept(cause: &std::io::Error) {
+    if is_of_one_connection(cause) {
+        yield_now().await;
+    } else {
+        sleep(ACCEPT_BACKOFF).await;
+    }
+}
+
 /// What waits to be read on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unread {
@@ -189,3 +225,6 @@
         Poll::Ready(SockRef::from(&*self.0).shutdown(std::net::Shutdown::Write))
     }
 }
+
+#[cfg(test)]
+mod tests;
