A connection is closed by one decision, which keeps it while a request on it is unread

What callers saw: with short reads, a connection was closed after 2.4 s though the rest of its request lay in the kernel; an interrupted read while reading on after our close ended that at once, and the reset took the last answer with it. Cause: unread bytes were looked for once, 1 ms before the close; talk::close took every error but WouldBlock for the end; the close at SIGTERM and the close of what had its time each decided for themselves. Change: permit::close decides for both on the kernel's word; a connection with unread bytes gets 20 looks. Reading on after the close goes through src/socket. A connection that can't be handed to the runtime at the end is logged.

--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -146,9 +146,10 @@
             // Asked directly: what the runtime has seen of it may be a moment old.
             match listener.accept() {
                 Ok((stream, _)) => {
-                    let stream =
-                        stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
-                    stream.map_or_else(|_| (), |stream| self.take(stream));
+                    match stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
+                        Ok(stream) => self.take(stream),
+                        Err(cause) => tracing::warn!(%cause, "a connection is closed unread"),
+                    }
                 }
                 Err(cause) if cause.kind() == ErrorKind::WouldBlock => return,
                 Err(_) => sleep(ACCEPT_AGAIN).await,
@@ -186,8 +187,8 @@
         let _ = stream.set_nodelay(true);
         let socket = Socket::new(stream);
         let over = self.talk_with(&socket).await;
-        if let (Over::Served, Some(stream)) = (over, socket.into_inner()) {
-            talk::close(stream, self.crowded()).await;
+        if matches!(over, Over::Served) {
+            talk::close(socket, self.crowded()).await;
         }
         self.open.set(self.open.get() - 1);
     }
@@ -214,7 +215,7 @@
                 () = &mut lost => return Over::Lost,
                 () = &mut left => return Over::Left,
                 () = &mut time_to_close, if !closing => {
-                    if talk.asks_again(socket) {
+                    if permit::close(&talk.owed(socket)).is_err() {
                         // Its answer tells the client to go; closed now, hyper would forget what has come of it.
                         time_to_close.set(self.lifecycle.time_to_close());
                     } else {
--- a/src/bin/hollowpaddle/talk.rs
+++ b/src/bin/hollowpaddle/talk.rs
@@ -2,21 +2,19 @@
 
 use std::cell::Cell;
 use std::future::{Future, poll_fn};
-use std::io::ErrorKind;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use hollowpaddle::invariants::permit::{self, CloseFacts};
+use hollowpaddle::socket::{Socket, Unread};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use hollowpaddle::socket::{Socket, Unread};
-
 /// How long a connection may idle between two requests while there is room for others; and while the table of
 /// clients fills up.
 /// Failure: peers that sent nothing, or never all of it, kept their connections until the table of clients was
@@ -37,8 +35,10 @@
 /// The same while nobody reads on it, for its peer's close: nothing may be sent on for a client 0.1 s after it
 /// has gone.
 const LOOK_FOR_CLOSE: Duration = Duration::from_millis(30);
-/// A moment in which the runtime hears of what has come.
+/// A moment in which the runtime hears of what has come, and how many of them a connection is given: a peer that sends
+/// a byte at a time can't hold on.
 const LOOK_AGAIN: Duration = Duration::from_millis(1);
+const LOOKS_BEFORE_CLOSE: u32 = 20;
 /// How long a connection is read on after our end of it is closed, and while others want its place.
 const READ_ON: Duration = Duration::from_millis(500);
 const READ_ON_IN_A_CROWD: Duration = Duration::from_millis(50);
@@ -90,13 +90,19 @@
     /// Waits until its peer has had all the time it gets. `crowded` tells whether others want its place, and `crowd`
     /// when they all of a sudden do.
     pub async fn lost(&self, socket: &Socket, crowded: impl Fn() -> bool, crowd: &Notify) {
-        let mut looked = false;
+        let mut looks = 0;
         loop {
             let now = Instant::now();
             let at = self.limit(crowded()).unwrap_or(now + LOOK);
             if at <= now {
-                // What has come by now is read first, once; that tells whether there is more time.
-                if !std::mem::replace(&mut looked, true) && has_come(socket) {
+                // What has come by now is read first; that tells whether there is more time.
+                let unread = CloseFacts {
+                    client_closed: socket.peer_closed(),
+                    unanswered: false,
+                    unread: has_come(socket),
+                };
+                if looks < LOOKS_BEFORE_CLOSE && permit::close(&unread).is_err() {
+                    looks += 1;
                     sleep(LOOK_AGAIN).await;
                     continue;
                 }
@@ -105,7 +111,7 @@
                 }
                 return;
             }
-            looked = false;
+            looks = 0;
             tokio::select! {
                 () = sleep_until(at.min(now + LOOK)) => {}
                 () = crowd.notified() => {}
@@ -119,10 +125,14 @@
         !matches!(self.doing.get(), Doing::Idle(since) if since.elapsed() >= READ_ON / 2)
     }
 
-    /// Whether part of a further request has come, read or not.
-    pub fn asks_again(&self, socket: &Socket) -> bool {
-        let unread = || matches!(self.doing.get(), Doing::Idle(_)) && has_come(socket);
-        self.kept.get() && (matches!(self.doing.get(), Doing::Asking(_)) || unread())
+    /// What is owed on it beside a request that is served: part of a further one may have come, read or not.
+    pub fn owed(&self, socket: &Socket) -> CloseFacts {
+        let kept = self.kept.get();
+        CloseFacts {
+            client_closed: socket.peer_closed(),
+            unanswered: kept && matches!(self.doing.get(), Doing::Asking(_)),
+            unread: kept && matches!(self.doing.get(), Doing::Idle(_)) && has_come(socket),
+        }
     }
 
     /// Waits until the peer has closed its end while a request of it is served and nobody reads. Has to be polled
@@ -200,17 +210,11 @@
 
 /// Closes our end and reads on for a moment (RFC 9112, 9.6): closed over bytes that nobody read, a connection is
 /// reset, and the reset takes with it what its peer has not read of the last answer.
-pub async fn close(mut stream: TcpStream, crowded: bool) {
+pub async fn close(mut socket: Socket, crowded: bool) {
     let read_on = async {
-        let _ = stream.shutdown().await;
+        let _ = socket.shutdown().await;
         let mut unread = vec![0; 4096];
-        while stream.readable().await.is_ok() {
-            match stream.try_read(&mut unread) {
-                Ok(0) => return,
-                Err(e) if e.kind() != ErrorKind::WouldBlock => return,
-                _ => {}
-            }
-        }
+        while socket.read(&mut unread).await.is_ok_and(|n| n > 0) {}
     };
     let _ = timeout(if crowded { READ_ON_IN_A_CROWD } else { READ_ON }, read_on).await;
 }
--- a/src/socket/mod.rs
+++ b/src/socket/mod.rs
@@ -78,11 +78,6 @@
         Self(Rc::new(stream))
     }
 
-    /// The connection itself, once nobody else shares it.
-    pub fn into_inner(self) -> Option<TcpStream> {
-        Rc::into_inner(self.0)
-    }
-
     /// A view of the peer that does not keep the connection open.
     pub fn peer(&self) -> Peer {
         Peer(Rc::downgrade(&self.0))
