--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -6,7 +6,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, mpsc};
 use std::thread;
@@ -141,6 +141,11 @@
         status.and_then(|s| s.code())
     }
 
+    /// Its exit status, if it has ended.
+    pub fn exited(&mut self, i: usize) -> Option<ExitStatus> {
+        self.processes[i].child.try_wait().expect("a child")
+    }
+
     /// The index of the process of this name.
     pub fn named(&self, name: &str) -> usize {
         self.processes.iter().position(|p| p.name == name).expect("it was started")
