A signal that comes while a read is interrupted does not end the process

What callers saw: a proxy that was sent SIGHUP or SIGTERM ended at once with exit code 101, and with it every request it had taken. Cause: tokio's signal driver panics where the read of its own pipe fails with EINTR ('panicked at tokio-1.54.1/src/ runtime/signal/mod.rs:121'), as any recv does under the shim.

--- a/src/bin/hollowpaddle/main.rs
+++ b/src/bin/hollowpaddle/main.rs
@@ -26,8 +26,8 @@
 use hollowpaddle::figures::Figures;
 use hollowpaddle::release::plan::Plan;
 use hollowpaddle::roles::{self, RoleError};
+use hollowpaddle::signals::{Kind, Signals};
 
-use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
 
 use bodies::Memory;
@@ -112,15 +112,15 @@
     let runtime = runtime.map_err(|e| Failure::Run(format!("runtime: {e}")))?;
     LocalSet::new().block_on(&runtime, async {
         // Before the file is read, which may be long: unhandled, the signal ends the program.
-        let hangup = signal(SignalKind::hangup());
+        let hangup = Signals::of(Kind::Hangup);
         let hangup = hangup.map_err(|e| Failure::Run(format!("SIGHUP: {e}")))?;
         let config = Config::from_env().map_err(|e| Failure::Config(e.to_string()))?;
         run(config, hangup).await.map_err(Failure::Run)
     })
 }
 
-async fn run(config: Config, hangup: Signal) -> Result<(), String> {
-    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+async fn run(config: Config, hangup: Signals) -> Result<(), String> {
+    let mut term = Signals::of(Kind::Terminate).map_err(|e| format!("SIGTERM: {e}"))?;
     let open = |address| listen(address).map_err(|e| format!("listen on {address}: {e}"));
     let listener = open(config.listen)?;
     let calls = config.management.map(open).transpose()?;
@@ -150,7 +150,9 @@
     let front = Rc::new(Front::new(handle, lifecycle, figures, memory, budget.clients));
     let mark = Mark::leave(bound, &listener);
     let serve = front.serve(listener, mark, async move {
-        term.recv().await;
+        if let Err(cause) = term.recv().await {
+            tracing::error!(%cause, "SIGTERM is not heard any more");
+        }
     });
     tokio::select! {
         () = serve => Ok(()),
@@ -160,8 +162,8 @@
 }
 
 /// On SIGHUP the file may name another address of discovery, and other services and routes. Failure: unhandled, the signal ended the program.
-async fn reconfigure(mut hangup: Signal, engine: Handle) {
-    while hangup.recv().await.is_some() {
+async fn reconfigure(mut hangup: Signals, engine: Handle) {
+    while hangup.recv().await.is_ok() {
         match Config::anew() {
             Ok(Anew { discovery, catalog }) => {
                 tracing::info!(addresses = ?discovery, "discovery has moved");
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod routing;
 pub mod services;
 pub mod settings;
+pub mod signals;
 pub mod socket;
 pub mod stand_in;
 mod state;
