Silent connections in a full table keep no request in the backlog beyond its time

What callers saw: while a crowd of idle connections filled the table, requests on new connections got no answer in their time, and those that were accepted late told their upstream up to 0.6 s more than their client had left. Cause: a connection that has sent nothing kept its place for 2.4 s, the time of a slow head; what waited behind it was read with its whole deadline ahead. A request that lay ready when its connection was accepted came, at the earliest, when the backlog began to wait.

--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -4,6 +4,8 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,16 +26,17 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
+use tokio::task::unconstrained;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::bodies::{AnswerBody, Broken, KEPT, LARGEST, Memory, Payload, Upload};
 use crate::engine::{Arrival, Handle, Reply};
 use crate::lifecycle::{LINGER, Lifecycle};
 use crate::succession::Mark;
-use crate::talk::{self, Talk, Turn, Watched};
+use crate::talk::{self, Room, Talk, Turn, Watched};
 use crate::upstreams::Forward;
 use hollowpaddle::figures::{End, Figures};
-use hollowpaddle::socket::{Peer, Socket, after_failed_accept};
+use hollowpaddle::socket::{Peer, Socket, Unread, after_failed_accept};
 
 /// The longest head of a request; a longer one is answered 431. hyper's own limit, some 400 KiB, times a full
 /// table of clients is more than the memory that a balancer has.
@@ -74,6 +77,8 @@
     open: Cell<usize>,
     /// Told when the table is full: those that idle are looked at at once.
     crowd: Notify,
+    /// Since when connections have waited to be accepted, while some do.
+    backlog_since: Cell<Option<Instant>>,
     lifecycle: Rc<Lifecycle>,
 }
 
@@ -85,7 +90,16 @@
         memory: Rc<Memory>,
         most: usize,
     ) -> Self {
-        Self { engine, figures, memory, most, open: Cell::new(0), crowd: Notify::new(), lifecycle }
+        Self {
+            engine,
+            figures,
+            memory,
+            most,
+            open: Cell::new(0),
+            crowd: Notify::new(),
+            backlog_since: Cell::new(None),
+            lifecycle,
+        }
     }
 
     /// Serves until `stop`, then finishes what was taken.
@@ -140,6 +154,7 @@
         let until = Instant::now() + LINGER;
         while Instant::now() < until {
             if self.open.get() >= self.most {
+                self.backlog_waits();
                 sleep(ACCEPT_AGAIN).await;
                 continue;
             }
@@ -159,22 +174,24 @@
 
     fn take(self: &Rc<Self>, stream: TcpStream) {
         self.open.set(self.open.get() + 1);
-        tokio::task::spawn_local(self.clone().converse(stream));
+        tokio::task::spawn_local(self.clone().converse(stream, self.backlog_since.get()));
     }
 
     async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         loop {
             // Left in the backlog, a client waits a moment; without a descriptor it would be dropped.
             if self.open.get() >= self.most {
+                self.backlog_waits();
                 self.crowd.notify_waiters();
                 while self.open.get() >= self.most {
                     sleep(ACCEPT_AGAIN).await;
                 }
             }
-            match listener.accept().await {
+            match self.next(listener).await {
                 Ok((stream, _)) => self.take(stream),
                 // Guards against EMFILE and aborted connections: neither is a reason to end.
                 Err(cause) => {
+                    self.backlog_waits();
                     tracing::warn!(%cause, "accept");
                     after_failed_accept(&cause).await;
                 }
@@ -182,25 +199,44 @@
         }
     }
 
+    /// Connections may wait to be accepted from now on.
+    fn backlog_waits(&self) {
+        let since = self.backlog_since.get().unwrap_or_else(Instant::now);
+        self.backlog_since.set(Some(since));
+    }
+
+    /// The next connection; once there is none, nobody waits any more.
+    async fn next(&self, listener: &TcpListener) -> std::io::Result<(TcpStream, SocketAddr)> {
+        // The runtime's budget for this task would pass for an empty backlog.
+        let mut accept = pin!(unconstrained(listener.accept()));
+        tokio::select! {
+            biased;
+            accepted = &mut accept => return accepted,
+            () = std::future::ready(()) => self.backlog_since.set(None),
+        }
+        accept.await
+    }
+
     /// All requests of one connection.
-    async fn converse(self: Rc<Self>, stream: TcpStream) {
+    async fn converse(self: Rc<Self>, stream: TcpStream, backlog_since: Option<Instant>) {
         let _ = stream.set_nodelay(true);
         let socket = Socket::new(stream);
-        let over = self.talk_with(&socket).await;
+        let waited = backlog_since.filter(|_| socket.unread() == Unread::Bytes);
+        let over = self.talk_with(&socket, waited).await;
         if matches!(over, Over::Served) {
             talk::close(socket, self.crowded()).await;
         }
         self.open.set(self.open.get() - 1);
     }
 
-    async fn talk_with(&self, socket: &Socket) -> Over {
-        let talk = Rc::new(Talk::new());
+    async fn talk_with(&self, socket: &Socket, waited: Option<Instant>) -> Over {
+        let talk = Rc::new(Talk::new(waited));
         let service = service_fn(|request| self.respond(request, socket, &talk));
         let watched = Watched { inner: TokioIo::new(socket.clone()), talk: talk.clone() };
         let connection =
             http1::Builder::new().max_buf_size(HEAD_LIMIT).serve_connection(watched, service);
         tokio::pin!(connection);
-        let lost = talk.lost(socket, || self.crowded(), &self.crowd);
+        let lost = talk.lost(socket, || self.room(), &self.crowd);
         let left = talk.left(socket);
         let time_to_close = self.lifecycle.time_to_close();
         tokio::pin!(lost, left, time_to_close);
@@ -228,7 +264,15 @@
     }
 
     fn crowded(&self) -> bool {
-        2 * self.open.get() > self.most
+        self.room() != Room::Plenty
+    }
+
+    fn room(&self) -> Room {
+        match self.open.get() {
+            open if open >= self.most => Room::Full,
+            open if 2 * open > self.most => Room::Scarce,
+            _ => Room::Plenty,
+        }
     }
 
     async fn respond(
@@ -291,13 +335,14 @@
             Err(why) => return broken(why, &id),
         };
         // The request's time runs from its last byte; while more is to come, that is still ahead.
-        let arrival = match arrival(place, service, &head, &kept, self.engine.arrived()) {
-            Ok(arrival) => arrival,
-            Err(what) => {
-                drain(upload, turn);
-                return malformed(what);
-            }
-        };
+        let arrival =
+            match arrival(place, service, &head, &kept, turn.arrived(self.engine.arrived())) {
+                Ok(arrival) => arrival,
+                Err(what) => {
+                    drain(upload, turn);
+                    return malformed(what);
+                }
+            };
         let rest = (!upload.is_whole()).then(|| upload.clone());
         let class = arrival.class;
         let taken = OnceCell::new();
--- a/src/bin/hollowpaddle/talk.rs
+++ b/src/bin/hollowpaddle/talk.rs
@@ -21,6 +21,9 @@
 /// full, and proper clients waited in the backlog until their time was up.
 const IDLE: Duration = Duration::from_secs(10);
 const IDLE_IN_A_CROWD: Duration = Duration::from_millis(2200);
+/// How long a client that has connected may send nothing while others find the table full.
+/// Failure: a crowd of silent connections kept proper clients in the backlog until after their deadline.
+const SILENT_IN_A_FULL_TABLE: Duration = Duration::from_millis(200);
 /// How long a head may take, from connecting or from its first byte on. Slow clients are owed 2 s; peers that
 /// never send a whole request are owed an end within 3 s.
 const HEAD_WITHIN: Duration = Duration::from_millis(2400);
@@ -45,6 +48,8 @@
 
 #[derive(Clone, Copy, Debug)]
 enum Doing {
+    /// It has connected then, and sent nothing yet.
+    Silent(Instant),
     /// Nothing, since then.
     Idle(Instant),
     /// It sends the head of a request, since then.
@@ -53,6 +58,17 @@
     Served,
 }
 
+/// How much room the table of clients has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Room {
+    /// For as many again.
+    Plenty,
+    /// For some.
+    Scarce,
+    /// For none: others wait to be accepted.
+    Full,
+}
+
 /// One connection with a client.
 pub struct Talk {
     doing: Cell<Doing>,
@@ -63,13 +79,16 @@
     /// Whether it is read on, and its peer's close would be seen there. hyper stops reading once it holds bytes
     /// that are not of the request it serves, or of a body that nobody takes.
     read: Cell<bool>,
+    /// Since when its first request may have waited to be accepted.
+    waited: Cell<Option<Instant>>,
 }
 
 impl Talk {
-    /// A peer that has just connected is asking already: it came to.
-    pub fn new() -> Self {
+    /// A peer that has just been accepted, after a wait since then.
+    pub fn new(waited: Option<Instant>) -> Self {
         Self {
-            doing: Cell::new(Doing::Asking(Instant::now())),
+            waited: Cell::new(waited),
+            doing: Cell::new(Doing::Silent(Instant::now())),
             unread: Cell::new(None),
             kept: Cell::new(false),
             read: Cell::new(true),
@@ -80,20 +99,20 @@
     pub fn turn(self: &Rc<Self>) -> Turn {
         self.kept.set(true);
         let began = match self.doing.replace(Doing::Served) {
-            Doing::Asking(since) => since,
+            Doing::Silent(since) | Doing::Asking(since) => since,
             // It was read together with the one before.
             Doing::Idle(_) | Doing::Served => Instant::now(),
         };
-        Turn { talk: self.clone(), began }
+        Turn { talk: self.clone(), began, waited: self.waited.take() }
     }
 
-    /// Waits until its peer has had all the time it gets. `crowded` tells whether others want its place, and `crowd`
+    /// Waits until its peer has had all the time it gets. `room` tells whether others want its place, and `crowd`
     /// when they all of a sudden do.
-    pub async fn lost(&self, socket: &Socket, crowded: impl Fn() -> bool, crowd: &Notify) {
+    pub async fn lost(&self, socket: &Socket, room: impl Fn() -> Room, crowd: &Notify) {
         let mut looks = 0;
         loop {
             let now = Instant::now();
-            let at = self.limit(crowded()).unwrap_or(now + LOOK);
+            let at = self.limit(room()).unwrap_or(now + LOOK);
             if at <= now {
                 // What has come by now is read first; that tells whether there is more time.
                 let unread = CloseFacts {
@@ -160,13 +179,16 @@
     /// When its peer has had all its time, as things stand. What is still to be written comes first: a request
     /// is done with here before a slow client has read the last of its answer.
     /// Failure: the ends of long answers, handed over but not yet taken, were cut off as idle.
-    fn limit(&self, crowded: bool) -> Option<Instant> {
+    fn limit(&self, room: Room) -> Option<Instant> {
         match (self.unread.get(), self.doing.get()) {
             (Some(since), _) => Some(since + UNREAD),
             (None, Doing::Idle(since)) => {
-                Some(since + if crowded { IDLE_IN_A_CROWD } else { IDLE })
+                Some(since + if room == Room::Plenty { IDLE } else { IDLE_IN_A_CROWD })
             }
-            (None, Doing::Asking(since)) => Some(since + HEAD_WITHIN),
+            (None, Doing::Silent(since)) if room == Room::Full => {
+                Some(since + SILENT_IN_A_FULL_TABLE)
+            }
+            (None, Doing::Silent(since) | Doing::Asking(since)) => Some(since + HEAD_WITHIN),
             (None, Doing::Served) => None,
         }
     }
@@ -185,9 +207,15 @@
 pub struct Turn {
     talk: Rc<Talk>,
     began: Instant,
+    waited: Option<Instant>,
 }
 
 impl Turn {
+    /// When the request may have come at the earliest, where it was read at a moment as late as this.
+    pub fn arrived(&self, read: Instant) -> Instant {
+        self.waited.map_or(read, |since| since.min(read))
+    }
+
     /// How long the client may keep us waiting for the start of its body.
     pub fn patience(&self) -> Duration {
         let [least, most] = PATIENCE;
@@ -233,8 +261,14 @@
     ) -> Poll<std::io::Result<()>> {
         let read = Pin::new(&mut self.inner).poll_read(cx, buf);
         self.talk.read.set(read.is_pending());
-        if let (Doing::Idle(_), Poll::Ready(Ok(()))) = (self.talk.doing.get(), &read) {
-            self.talk.doing.set(Doing::Asking(Instant::now()));
+        match (self.talk.doing.get(), &read) {
+            (Doing::Idle(_), Poll::Ready(Ok(()))) => {
+                self.talk.doing.set(Doing::Asking(Instant::now()));
+            }
+            (Doing::Silent(since), Poll::Ready(Ok(()))) => {
+                self.talk.doing.set(Doing::Asking(since));
+            }
+            _ => {}
         }
         read
     }
