Processes of an address are ordered by a clock that does not step

A wall clock set back between two starts would have had the older process taken for the newer, and connections led to a listener that closes (a reset). Cause: a process's registration carried its start by the wall clock, and the order of the group is that of the names. Change: the system's monotonic clock, behind a digit that sorts after all that older versions wrote. Evidence: unit test, which names of the wall clock fail; the order within an upgrade from the version before holds by the same digit.

--- a/src/bin/hollowpaddle/succession.rs
+++ b/src/bin/hollowpaddle/succession.rs
@@ -3,10 +3,11 @@
 use std::fs::{File, TryLockError};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use nix::libc;
 use nix::sys::socket::{setsockopt, sockopt};
+use nix::time::{ClockId, clock_gettime};
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
@@ -57,8 +58,7 @@
     /// Marks this process as one that serves what `listener` is bound to.
     pub fn leave(listen: SocketAddr, listener: &TcpListener) -> Self {
         let at = listen.to_string().replace(|c: char| !c.is_ascii_alphanumeric(), "-");
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let name = format!("{:024}-{}", since.as_nanos(), std::process::id());
+        let name = format!("{}-{}", started(), std::process::id());
         let mut mark = Self { folder: std::env::temp_dir(), at, name, _locked: None };
         let locked = lock(&mark.folder, &mark.file(SERVES)).inspect_err(|cause| {
             let folder = mark.folder.display();
@@ -198,6 +198,13 @@
     }
 }
 
+/// When this process started, in nanoseconds of the system's monotonic clock: the wall clock may be stepped between two
+/// starts. The first digit puts it behind all that older versions wrote by the wall clock.
+fn started() -> String {
+    let since_boot = clock_gettime(ClockId::CLOCK_MONOTONIC).map(Duration::from);
+    format!("1{:023}", since_boot.unwrap_or_default().as_nanos())
+}
+
 /// Leads all new connections of the address to the listener at this place of its group.
 fn lead(listener: &TcpListener, place: u32) -> nix::Result<()> {
     // The program's whole text: "return place".
--- a/src/bin/hollowpaddle/succession/tests.rs
+++ b/src/bin/hollowpaddle/succession/tests.rs
@@ -127,3 +127,11 @@
     assert!(one.succeeded(), "the other served then");
     assert!(!other.succeeded());
 }
+
+#[test]
+fn a_clock_that_was_set_back_between_two_starts_swaps_no_processes() {
+    let by_wall_clock =
+        format!("{:024}", std::time::UNIX_EPOCH.elapsed().expect("after it").as_nanos());
+    let (first, second) = (started(), started());
+    assert!(by_wall_clock < first && first <= second, "{by_wall_clock}, {first}, {second}");
+}
