An upstream that starts after the wall clock stepped is cold for as long as it is

What callers saw: found by audit. After a step back by an hour an upstream that had just started passed for one that has run for an hour, without slow start; after a step forward one stayed cold for an hour. Cause: the module's clock is set to the wall clock once, and up_since_ms was read on it as it stands. Change: the proxy reads how far the wall clock is ahead at each list and remembers each step; of the moments that a start may mean, the latest that is not ahead counts, read once for each start. Without a step nothing changes.

--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -290,8 +290,12 @@
 
 impl Clock {
     fn new() -> Self {
+        Self { start: Instant::now(), unix_us: Self::wall().0 }
+    }
+    /// The wall clock as it reads now; it may have been stepped since the start.
+    fn wall() -> Time {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self { start: Instant::now(), unix_us: unix.as_micros() as i64 }
+        Time(unix.as_micros() as i64)
     }
     fn now(&self) -> Time {
         self.at(Instant::now())
@@ -684,6 +688,7 @@
     }
 
     fn listed(&mut self, list: &List, kind: ListKind) {
+        self.services.clock_read(Clock::wall(), self.clock.now());
         let Told { changes, members } = self.services.told(list, kind);
         self.changed(&changes);
         for (service, members) in members {
--- a/src/services/directory.rs
+++ b/src/services/directory.rs
@@ -9,6 +9,7 @@
 use crate::settings::stable_hash;
 
 use super::ServiceId;
+use super::wall_clock::WallClock;
 
 /// What became of one upstream, for whoever holds connections to it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -54,6 +55,9 @@
     service: ServiceId,
     address: SocketAddr,
     status: Status,
+    /// When it started, as the list says it and on the module's clock: read once, or a step would be a restart.
+    up_since_ms: f64,
+    started: Option<Time>,
 }
 
 #[derive(Debug)]
@@ -79,6 +83,7 @@
     /// By [`ServerId`].
     servers: Vec<Known>,
     live: usize,
+    wall_clock: WallClock,
 }
 
 impl Directory {
@@ -91,9 +96,15 @@
             by_id: FxHashMap::default(),
             servers: Vec::new(),
             live: 0,
+            wall_clock: WallClock::default(),
         }
     }
 
+    /// The wall clock reads `wall` at the moment `now`: told before each list, so that starts are read right.
+    pub fn clock_read(&mut self, wall: Time, now: Time) {
+        self.wall_clock.read(wall, now);
+    }
+
     /// Takes in a service with the zones and kinds that its settings name. Its upstreams come with the next whole
     /// list.
     pub fn add(&mut self, name: &str, zones: &[String], kinds: &[String]) -> ServiceId {
@@ -206,6 +217,7 @@
         };
         let server = known.unwrap_or_else(|| self.meet(entry, service, address));
         self.servers[server.0 as usize].address = address;
+        self.read_start(server, entry.up_since_ms);
         self.set(server, status(entry.phase));
         told.changes.push(self.change(server));
         if let Some(member) = self.member(service, server, entry) {
@@ -216,7 +228,8 @@
     fn meet(&mut self, entry: &Entry, service: ServiceId, address: SocketAddr) -> ServerId {
         let server = ServerId(self.servers.len() as u32);
         let (id, status) = (entry.id.clone(), Status::Gone);
-        self.servers.push(Known { id: id.clone(), service, address, status });
+        let (up_since_ms, started) = (0.0, None);
+        self.servers.push(Known { id: id.clone(), service, address, status, up_since_ms, started });
         self.by_id.insert(id, server);
         if let Some(part) = &mut self.parts[service.0 as usize] {
             part.servers.push(server);
@@ -224,6 +237,16 @@
         server
     }
 
+    fn read_start(&mut self, server: ServerId, up_since_ms: f64) {
+        let known = &mut self.servers[server.0 as usize];
+        if known.up_since_ms == up_since_ms {
+            return;
+        }
+        let by_wall = Time((up_since_ms * 1000.0) as i64);
+        known.up_since_ms = up_since_ms;
+        known.started = (up_since_ms > 0.0).then(|| self.wall_clock.started(by_wall));
+    }
+
     /// The entry in the module's words.
     fn member(&self, service: ServiceId, server: ServerId, entry: &Entry) -> Option<Member> {
         let part = self.parts.get(service.0 as usize)?.as_ref()?;
@@ -239,7 +262,7 @@
             cell: entry.cell,
             status: status(entry.phase),
             weight: entry.size,
-            started: (entry.up_since_ms > 0.0).then_some(Time((entry.up_since_ms * 1000.0) as i64)),
+            started: self.servers[server.0 as usize].started,
         })
     }
 }
--- a/src/services/mod.rs
+++ b/src/services/mod.rs
@@ -9,6 +9,7 @@
 
 mod catalog;
 mod directory;
+mod wall_clock;
 
 use std::rc::Rc;
 
@@ -173,6 +174,11 @@
         }
     }
 
+    /// The wall clock reads `wall` at the moment `now`: told before each list.
+    pub fn clock_read(&mut self, wall: Time, now: Time) {
+        self.directory.clock_read(wall, now);
+    }
+
     /// Takes in a list, and says what each service has to be told of it, by [`Services::handle`].
     pub fn told(&mut self, list: &Message, kind: ListKind) -> Told {
         let mut told = self.directory.told(list, kind);
