What a failed sync left in the cache is not believed after a restart

What callers saw: a write that the list service had refused, for its sync had failed, was in the list after a restart, with nothing but the page cache to say so: a power loss would have taken it back from proxies that follow it. Cause: the log was closed to writes, but the unsynced record stayed in the file; the next start read it from the cache, and its own sync proves nothing of pages that the kernel has dropped. Change: the file is cut back to what was acknowledged as soon as a sync fails. Evidence: tests/recovery.rs with the shim's failing syncs: the refused member was there after the restart before ('left: kept, refused'), and is not now. Beside it, one instance of three whose writes and syncs fail one call in twelve (ENOSPC, EIO, short), restarted four times, four seeds: all 60 acknowledged members at all three instances. Whether the second test fails without the change was not run.

--- a/src/store/log.rs
+++ b/src/store/log.rs
@@ -320,8 +320,10 @@
             });
         }
         if let Err(source) = self.file.sync_data() {
-            // The kernel may have dropped the pages: a second sync that succeeds would prove nothing.
+            // The kernel may have dropped the pages: a second sync that succeeds would prove nothing, here or after
+            // the next start, which must not find them in the cache.
             self.poisoned = true;
+            let _ = self.file.set_len(self.length);
             return Err(StoreError::Io { path: self.path.clone(), source });
         }
         self.length = after;
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -45,6 +45,8 @@
     pub processes: Vec<Process>,
     /// Management addresses of processes that those here have started.
     pub adopted: Vec<SocketAddr>,
+    /// What processes of these names have in their environment beside what they are started with.
+    pub environments: Vec<(&'static str, Vec<(&'static str, String)>)>,
     files: Vec<PathBuf>,
 }
 
@@ -107,7 +109,11 @@
     /// `listening on ADDRESS`. Returns its index.
     pub fn start(&mut self, name: &str, args: &[&str], env: &[(&str, &str)]) -> usize {
         let args: Vec<String> = args.iter().map(|a| (*a).to_owned()).collect();
-        let env = env.iter().map(|(k, v)| ((*k).to_owned(), (*v).to_owned())).collect();
+        let mut env: Vec<(String, String)> =
+            env.iter().map(|(k, v)| ((*k).to_owned(), (*v).to_owned())).collect();
+        for (_, more) in self.environments.iter().filter(|(of, _)| *of == name) {
+            env.extend(more.iter().map(|(k, v)| ((*k).to_owned(), v.clone())));
+        }
         let process = launch(name.to_owned(), args, env);
         self.processes.push(process);
         self.processes.len() - 1
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -3,9 +3,11 @@
 
 #[allow(dead_code)] // Each test file uses part of the harness.
 mod harness;
+mod shim;
 
 use std::collections::BTreeSet;
 use std::fs;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 use std::sync::{Arc, Mutex};
@@ -180,6 +182,59 @@
     assert_eq!(members(), Some(acknowledged));
 }
 
+#[test]
+fn a_disk_whose_writes_and_syncs_fail_takes_back_nothing_acknowledged() {
+    for seed in 1..=4 {
+        let mut fleet = Fleet::default();
+        let mut failing = shim::faults("disk", 12, seed).to_vec();
+        failing.push(("FAULT_AFTER", "1200".to_owned()));
+        fleet.environments.push(("list-1", failing));
+        // Small enough that snapshots are written amid the failures too.
+        let cluster = Cluster::start(&mut fleet, 3, "snapshot_bytes = 4000");
+        let mut failed = 0;
+        for round in 0..4 {
+            // By now its calls fail.
+            thread::sleep(Duration::from_millis(1300));
+            for number in 0..15 {
+                let body = member(&format!("m-{round}-{number}"), free());
+                let taken = |at: &SocketAddr| {
+                    post(*at, "/admin/members", &body).is_some_and(|(status, _)| status == 200)
+                };
+                until("one that leads and can write", SOON, || cluster.calls.iter().any(taken));
+            }
+            failed += usize::from(fleet.logged(cluster.at[0], "nothing can be kept"));
+            // It may take no further part: it is started anew, on what its disk holds.
+            fleet.kill(cluster.at[0]);
+            fleet.restart(cluster.at[0]);
+        }
+        assert!(failed > 0, "seed {seed}: its disk never failed");
+        for list in &cluster.lists {
+            let members = || look(*list, "/api/targets")["members"].as_array().map(Vec::len);
+            until(&format!("seed {seed}: all members at {list}"), SOON, || members() == Some(60));
+        }
+    }
+}
+
+#[test]
+fn what_a_failed_sync_left_in_the_cache_is_not_believed_after_a_restart() {
+    let mut fleet = Fleet::default();
+    let mut failing = shim::faults("sync", 1, 1).to_vec();
+    failing.push(("FAULT_AFTER", "2000".to_owned()));
+    fleet.environments.push(("list-1", failing));
+    let from = Instant::now();
+    let cluster = Cluster::start(&mut fleet, 1, "");
+    cluster.register("kept", free());
+    thread::sleep(Duration::from_millis(2100).saturating_sub(from.elapsed()));
+    let answer = post(cluster.calls[0], "/admin/members", &member("refused", free()));
+    assert_ne!(answer.map(|(status, _)| status), Some(200), "its sync fails");
+    fleet.kill(cluster.at[0]);
+    fleet.restart(cluster.at[0]);
+    fleet.ready(cluster.at[0]);
+    let list = look(cluster.lists[0], "/api/targets");
+    let ids: Vec<_> = list["members"].as_array().into_iter().flatten().map(|m| &m["id"]).collect();
+    assert_eq!(ids, ["kept"]);
+}
+
 #[test]
 fn a_proxy_that_starts_while_no_list_service_is_up_serves_from_its_last_list() {
     let mut fleet = Fleet::default();
--- a/tests/shim/faults.c
+++ b/tests/shim/faults.c
@@ -1,6 +1,6 @@
 /* Loaded into a process by LD_PRELOAD: lets system calls fail as Linux documents, or steps the wall clock.
  *
- * FAULTS       kinds, with commas between: accept, connect, socket, wait, interrupt, short, clock, disk
+ * FAULTS       kinds, with commas between: accept, connect, socket, wait, interrupt, short, clock, disk, sync
  * FAULT_RATE   one call in so many fails (default 100)
  * FAULT_SEED   which ones (default 1)
  * FAULT_AFTER  milliseconds after the start from which on calls fail (default 0)
@@ -20,7 +20,7 @@
 #include <time.h>
 #include <unistd.h>
 
-enum kind { ACCEPT = 1, CONNECT = 2, SOCKET = 4, WAIT = 8, INTERRUPT = 16, SHORT = 32, CLOCK = 64, DISK = 128 };
+enum kind { ACCEPT = 1, CONNECT = 2, SOCKET = 4, WAIT = 8, INTERRUPT = 16, SHORT = 32, CLOCK = 64, DISK = 128, SYNC = 256 };
 
 #define SHORTEST 1
 #define LONGEST_SHORT 7
@@ -28,7 +28,7 @@
 
 static const struct { const char *name; int kind; } KINDS[] = {
     {"accept", ACCEPT}, {"connect", CONNECT}, {"socket", SOCKET}, {"wait", WAIT},
-    {"interrupt", INTERRUPT}, {"short", SHORT}, {"clock", CLOCK}, {"disk", DISK},
+    {"interrupt", INTERRUPT}, {"short", SHORT}, {"clock", CLOCK}, {"disk", DISK | SYNC}, {"sync", SYNC},
 };
 
 static int kinds;
@@ -151,12 +151,12 @@
 }
 
 int fsync(int fd) {
-    if (fails(DISK)) return FAIL(EIO, ENOSPC);
+    if (fails(SYNC)) return FAIL(EIO, ENOSPC);
     return REAL(fsync)(fd);
 }
 
 int fdatasync(int fd) {
-    if (fails(DISK)) return FAIL(EIO, ENOSPC);
+    if (fails(SYNC)) return FAIL(EIO, ENOSPC);
     return REAL(fdatasync)(fd);
 }
 
