--- /dev/null
+++ b/src/policy/membership.rs
@@ -0,0 +1,129 @@
+//! Membership: upstreams that come, drain and go, and this proxy's part of them.
+
+use super::*;
+
+/// Points of the proxies on the ring: multiples of the golden ratio are even for any run and every n-th.
+const GOLDEN: f64 = 0.618_033_988_749_895;
+/// An upstream across zones, where crossing has a price, is as far as a whole part of the fleet.
+const FAR: f64 = 1.0;
+
+impl Balancer {
+    pub(super) fn members(&mut self, now: Time, kind: ListKind, list: &[Member], out: &mut Vec<Action>) {
+        if kind == ListKind::Unavailable {
+            let lost = std::mem::take(&mut self.ask.subscribed);
+            self.ask.failures = (self.ask.failures + 1).min(3);
+            let wait = self.jitter(ASK_JITTER_OF_EVERY * f64::from(1 << self.ask.failures));
+            let most = if lost { self.settings.rules.drain_grace } else { ASK_AGAIN_MOST };
+            self.ask.next = now.plus(wait.min(most));
+            return;
+        }
+        if kind != ListKind::Restored {
+            (self.ask.subscribed, self.ask.failures) = (true, 0);
+        }
+        let before: Vec<Status> = self.servers.iter().map(|s| s.status).collect();
+        if kind != ListKind::Update {
+            self.servers.iter_mut().for_each(|s| s.status = Status::Gone);
+        }
+        for m in list {
+            self.member(now, m);
+        }
+        for i in 0..self.servers.len() {
+            if before.get(i).is_none_or(|was| *was != self.servers[i].status) {
+                self.servers[i].close_until = now.plus(self.settings.rules.drain_close);
+                self.close_idle(now, i, out);
+            }
+        }
+        for r in 0..self.rooms.len() {
+            let open = self.servers.iter().filter(|s| self.open_to(self.rooms[r].class, s));
+            self.rooms[r].in_flight = open.map(|s| s.in_flight as usize).sum();
+        }
+        self.draw_parts();
+        self.refresh_warm(now);
+        self.refresh_fleet(now);
+        self.dispatch(now, out);
+    }
+
+    /// Lays the upstreams of each zone on a ring, and this proxy at its own point of it. The points of any
+    /// run of proxies, or of every n-th, are spread evenly (multiples of the golden ratio).
+    pub(super) fn draw_parts(&mut self) {
+        let mut live: Vec<usize> = (0..self.servers.len()).collect();
+        live.retain(|&i| self.servers[i].status == Status::Live);
+        let priced = self.settings.prices.cross_zone > 0.0;
+        let zone = |s: &Server| if priced { s.zone } else { 0 };
+        live.sort_by_key(|&i| (zone(&self.servers[i]), self.servers[i].identity));
+        let own = (f64::from(self.settings.position) * GOLDEN).fract();
+        let zones = if priced { f64::from(self.settings.zones.max(1)) } else { 1.0 };
+        let banks = f64::from(self.settings.balancers) / zones;
+        let mut at = 0;
+        while at < live.len() {
+            let z = zone(&self.servers[live[at]]);
+            let n = live[at..].iter().take_while(|&&i| zone(&self.servers[i]) == z).count();
+            for (j, &i) in live[at..at + n].iter().enumerate() {
+                let d = ((j as f64 + 0.5) / n as f64 - own).abs();
+                let far = if priced && z != self.settings.zone { FAR } else { 0.0 };
+                self.servers[i].reach = d.min(1.0 - d) * banks.max(1.0) + far;
+            }
+            at += n;
+        }
+        self.order = live;
+    }
+
+    /// Closes what idles at an upstream that drains or is gone, where a rule asks for it: on the notice,
+    /// after each outcome there, and once a sweep for as long as the rule allows, since a connection may come
+    /// free a moment after the outcome that used it was told.
+    pub(super) fn close_idle(&mut self, now: Time, server: usize, out: &mut Vec<Action>) {
+        let s = &mut self.servers[server];
+        let within = self.settings.rules.drain_close;
+        if within.0 <= 0 || s.status == Status::Live {
+            return;
+        }
+        out.push(Action::CloseIdle { server: s.id });
+        if s.in_flight > 0 {
+            s.close_until = now.plus(within);
+        }
+    }
+
+    pub(super) fn member(&mut self, now: Time, m: &Member) {
+        let fresh = self.servers.len();
+        let i = *self.by_id.entry(m.id).or_insert(fresh);
+        if i == fresh {
+            self.servers.push(Server {
+                id: m.id,
+                zone: m.zone,
+                kind: m.kind.min(255),
+                cell: m.cell,
+                status: m.status,
+                weight: 1.0,
+                started: None,
+                identity: m.identity,
+                in_flight: 0,
+                changed: now,
+                breaker: Breaker::default(),
+                by_class: vec![Breaker::default(); self.settings.classes.len()],
+                answered: Time(i64::MIN),
+                est: Estimate::NONE,
+                tokens: 0.0,
+                refilled: now,
+                trial: 0,
+                others: 1.0,
+                reach: 0.0,
+                close_until: now,
+            });
+        }
+        // Spread over the bank: a random part of the first send is already earned.
+        let head_start = self.rng.rand_float();
+        let kind = m.kind.min(255) as usize;
+        let lanes = &mut self.fleet.lanes;
+        lanes.resize_with(lanes.len().max(kind + 1), Lanes::new);
+        let s = &mut self.servers[i];
+        if s.started != m.started && m.started.is_some() {
+            (s.tokens, s.refilled) = (head_start, now);
+            s.est.slow = Estimate::NONE.slow;
+            s.breaker = Breaker::default();
+            s.by_class.fill(Breaker::default());
+        }
+        (s.zone, s.kind, s.cell) = (m.zone, m.kind.min(255), m.cell);
+        (s.status, s.started) = (m.status, m.started);
+        s.weight = if m.weight > 0.0 && m.weight.is_finite() { m.weight } else { 1.0 };
+    }
+}
--- /dev/null
+++ b/src/policy/slow_start.rs
@@ -0,0 +1,99 @@
+//! Slow start: what an upstream that has just started may be sent.
+
+use super::*;
+
+/// Pace to a young upstream of one's own, as a share of the stated multiple: few proxies own the same one.
+const OWNER_PACE: f64 = 1.0 / 3.0;
+/// The pace goes on to rise for so many times the cold spell. Failure: at its end a whole bank came at once.
+const RAMP_OUT: f64 = 2.0;
+
+impl Balancer {
+    /// Share of its capacity that a young upstream has for certain; `None` once warm.
+    pub(super) fn cold_share(&self, now: Time, s: &Server) -> Option<f64> {
+        self.ramp(now, s, 1.0)
+    }
+
+    /// The same line, drawn on for so many times as long.
+    pub(super) fn ramp(&self, now: Time, s: &Server, times: f64) -> Option<f64> {
+        let rules = &self.settings.rules;
+        let grown = now.since(s.started?).f().max(0.0) / rules.cold.f().max(1.0);
+        (grown < times).then_some(rules.cold_from + (1.0 - rules.cold_from) * grown)
+    }
+
+    pub(super) fn cold_allows(&self, now: Time, s: &Server) -> bool {
+        self.earned(now, s).is_none_or(|tokens| tokens >= 1.0)
+    }
+
+    /// Sends that a young upstream has earned by now, one at most; `None` once warm.
+    pub(super) fn earned(&self, now: Time, s: &Server) -> Option<f64> {
+        let share = self.ramp(now, s, RAMP_OUT)?;
+        let elapsed = now.since(s.refilled).f().max(0.0);
+        Some((s.tokens + elapsed * self.warm_rate(s) * share).min(1.0))
+    }
+
+    /// Answers per microsecond that one warm upstream like `s` has been seen to give.
+    pub(super) fn warm_rate(&self, s: &Server) -> f64 {
+        let f = &self.fleet;
+        let like = f.warm_rate.get(s.kind as usize).copied().unwrap_or(0.0);
+        let rate = s.weight * if like > 0.0 { like } else { f.any_rate };
+        let multiple = self.settings.rules.fall_multiple.max(1.0);
+        // Failure: with every upstream young, or nothing observed yet, none got any work.
+        let least = multiple / f64::from(self.settings.balancers) / f.ts;
+        let rate = if rate > 0.0 { rate } else { least };
+        // Failure: a fleet that grew fourfold kept refusing: each young upstream had the pace of an even
+        // spread over the bank, but only the proxies whose own it was sent it anything.
+        let owner = if s.reach <= OWN { multiple * OWNER_PACE * self.lanes(s) / f.ts } else { 0.0 };
+        rate.max(owner)
+    }
+
+    pub(super) fn count_send(&mut self, now: Time, server: usize) {
+        let Some(earned) = self.earned(now, &self.servers[server]) else { return };
+        let s = &mut self.servers[server];
+        (s.tokens, s.refilled) = (earned - 1.0, now);
+    }
+
+    /// Counts what warm upstreams served, not what they were sent: in a storm of refusals the sends of a bank
+    /// add up to a multiple of what any upstream can do.
+    pub(super) fn count_served(&mut self, now: Time, server: usize) {
+        let s = &self.servers[server];
+        if self.cold_share(now, s).is_some() {
+            return;
+        }
+        let kind = s.kind as usize;
+        let served = &mut self.fleet.warm_served;
+        served.resize(served.len().max(kind + 1), 0.0);
+        served[kind] += 1.0;
+    }
+
+    pub(super) fn refresh_warm(&mut self, now: Time) {
+        let elapsed = now.since(self.fleet.counted).f();
+        self.fleet.counted = now;
+        let mut weight = vec![0.0; self.fleet.warm_served.len()];
+        for i in 0..self.servers.len() {
+            let s = &self.servers[i];
+            if s.status != Status::Live {
+                continue;
+            }
+            if let Some(earned) = self.earned(now, s) {
+                let s = &mut self.servers[i];
+                (s.tokens, s.refilled) = (earned, now);
+            } else if let Some(w) = weight.get_mut(s.kind as usize) {
+                *w += s.weight;
+            }
+        }
+        let window = self.settings.rules.tip_after.f().max(1.0);
+        let cold = self.settings.rules.cold.f().max(1.0);
+        let f = &mut self.fleet;
+        f.warm_served.iter_mut().for_each(|w| *w *= (-elapsed / window).exp());
+        f.warm_rate.resize(weight.len(), 0.0);
+        // Failure: when the warm ones slowed, the young, who did not, were held back with them.
+        let keep = |peak: &mut f64, served: f64, weight: f64| {
+            let seen = if weight > 0.0 && served >= 1.0 { served / window / weight } else { 0.0 };
+            *peak = (*peak * (-elapsed / cold).exp()).max(seen);
+        };
+        keep(&mut f.any_rate, f.warm_served.iter().sum(), weight.iter().sum());
+        for ((peak, served), weight) in f.warm_rate.iter_mut().zip(&f.warm_served).zip(weight) {
+            keep(peak, *served, weight);
+        }
+    }
+}
