House words of the network code give way to the field's names

Talk is ClientConnection, Turn RequestGuard, Watched ObservedStream, Owed UnansweredRequest, Relay StreamedResponse, Upload RequestBody, Mark ProcessRegistration, Told Notified, Outcome::Moot NotSent; talk.rs is client_connection.rs. No behaviour changed.

--- a/src/bin/hollowpaddle-benchlink/instance.rs
+++ b/src/bin/hollowpaddle-benchlink/instance.rs
@@ -260,7 +260,7 @@
         502 => d::Outcome::ConnectFailed,
         598 => d::Outcome::Reset,
         499 => d::Outcome::Cancelled,
-        410 => d::Outcome::Moot,
+        410 => d::Outcome::NotSent,
         _ => return Err(format!("field `Rc`: no outcome {rc}")),
     })
 }
--- a/src/bin/hollowpaddle/bodies.rs
+++ b/src/bin/hollowpaddle/bodies.rs
@@ -12,7 +12,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, Sleep, sleep, timeout};
 
-use crate::upstreams::Relay;
+use crate::upstreams::StreamedResponse;
 use hollowpaddle::figures::{End, Taken};
 
 /// A body or an answer up to this size is kept whole; of a larger one, no more than its first part.
@@ -101,7 +101,7 @@
 }
 
 /// The body of a request, as its client sends it.
-pub struct Upload {
+pub struct RequestBody {
     body: RefCell<Incoming>,
     pace: RefCell<Pace>,
     read: Cell<u64>,
@@ -111,7 +111,7 @@
     spent: Cell<bool>,
 }
 
-impl Upload {
+impl RequestBody {
     /// Its client may keep us waiting for so long before it sends any of it.
     pub fn new(body: Incoming, patience: Duration) -> Rc<Self> {
         let timer = Box::pin(sleep(patience));
@@ -226,7 +226,7 @@
 /// The body of one attempt at an upstream.
 pub struct Outgoing {
     kept: Bytes,
-    rest: Option<Rc<Upload>>,
+    rest: Option<Rc<RequestBody>>,
     /// Where the whole body's size is known from the start, what is left of it.
     left: Option<u64>,
     due: Due,
@@ -304,7 +304,7 @@
     /// All of it, or its first part.
     pub kept: Bytes,
     /// Where more follows.
-    pub rest: Option<Rc<Upload>>,
+    pub rest: Option<Rc<RequestBody>>,
     /// Its whole size, if the client said so.
     pub length: Option<u64>,
     pub _hold: Option<Hold>,
@@ -320,7 +320,7 @@
 /// An answer from an upstream: whole, or its first part and where the rest comes from.
 pub struct Served {
     pub kept: Bytes,
-    pub rest: Option<Relay>,
+    pub rest: Option<StreamedResponse>,
     pub hold: Option<Hold>,
 }
 
@@ -328,7 +328,7 @@
 #[derive(Default)]
 pub struct AnswerBody {
     kept: Bytes,
-    rest: Option<Relay>,
+    rest: Option<StreamedResponse>,
     taken: Option<Taken>,
     _hold: Option<Hold>,
     _done: Option<Done>,
@@ -400,7 +400,7 @@
 
     fn size_hint(&self) -> SizeHint {
         let kept = self.kept.len() as u64;
-        let rest = self.rest.as_ref().map_or(Some(0), Relay::left);
+        let rest = self.rest.as_ref().map_or(Some(0), StreamedResponse::left);
         rest.map_or(SizeHint::default(), |rest| SizeHint::with_exact(kept + rest))
     }
 }
--- a/src/bin/hollowpaddle/client_connection.rs
+++ b/src/bin/hollowpaddle/client_connection.rs
@@ -47,7 +47,7 @@
 const READ_ON_IN_A_CROWD: Duration = Duration::from_millis(50);
 
 #[derive(Clone, Copy, Debug)]
-enum Doing {
+enum State {
     /// It has connected then, and sent nothing yet.
     Silent(Instant),
     /// Nothing, since then.
@@ -70,8 +70,8 @@
 }
 
 /// One connection with a client.
-pub struct Talk {
-    doing: Cell<Doing>,
+pub struct ClientConnection {
+    state: Cell<State>,
     /// Since when its peer has taken none of what is to be written.
     unread: Cell<Option<Instant>>,
     /// Whether a request was served on it.
@@ -83,12 +83,12 @@
     waited: Cell<Option<Instant>>,
 }
 
-impl Talk {
+impl ClientConnection {
     /// A peer that has just been accepted, after a wait since then.
     pub fn new(waited: Option<Instant>) -> Self {
         Self {
             waited: Cell::new(waited),
-            doing: Cell::new(Doing::Silent(Instant::now())),
+            state: Cell::new(State::Silent(Instant::now())),
             unread: Cell::new(None),
             kept: Cell::new(false),
             read: Cell::new(true),
@@ -96,19 +96,19 @@
     }
 
     /// A request is served from now on, until what this returns is dropped.
-    pub fn turn(self: &Rc<Self>) -> Turn {
+    pub fn begin_request(self: &Rc<Self>) -> RequestGuard {
         self.kept.set(true);
-        let began = match self.doing.replace(Doing::Served) {
-            Doing::Silent(since) | Doing::Asking(since) => since,
+        let began = match self.state.replace(State::Served) {
+            State::Silent(since) | State::Asking(since) => since,
             // It was read together with the one before.
-            Doing::Idle(_) | Doing::Served => Instant::now(),
+            State::Idle(_) | State::Served => Instant::now(),
         };
-        Turn { talk: self.clone(), began, waited: self.waited.take() }
+        RequestGuard { connection: self.clone(), began, waited: self.waited.take() }
     }
 
     /// Waits until its peer has had all the time it gets. `room` tells whether others want its place, and `crowd`
     /// when they all of a sudden do.
-    pub async fn lost(&self, socket: &Socket, room: impl Fn() -> Room, crowd: &Notify) {
+    pub async fn timed_out(&self, socket: &Socket, room: impl Fn() -> Room, crowd: &Notify) {
         let mut looks = 0;
         loop {
             let now = Instant::now();
@@ -125,8 +125,8 @@
                     sleep(LOOK_AGAIN).await;
                     continue;
                 }
-                if !matches!(self.doing.get(), Doing::Idle(_)) || self.unread.get().is_some() {
-                    tracing::info!(doing = ?self.doing.get(), "a client had all its time");
+                if !matches!(self.state.get(), State::Idle(_)) || self.unread.get().is_some() {
+                    tracing::info!(state = ?self.state.get(), "a client had all its time");
                 }
                 return;
             }
@@ -141,7 +141,7 @@
     /// Whether it was answered so lately that its peer may not have all of that yet. A request that crosses with the
     /// close of one that idled is better reset: that tells its client that nobody read it.
     pub fn answered_lately(&self) -> bool {
-        !matches!(self.doing.get(), Doing::Idle(since) if since.elapsed() >= READ_ON / 2)
+        !matches!(self.state.get(), State::Idle(since) if since.elapsed() >= READ_ON / 2)
     }
 
     /// What is owed on it beside a request that is served: part of a further one may have come, read or not.
@@ -149,19 +149,19 @@
         let kept = self.kept.get();
         CloseFacts {
             client_closed: socket.peer_closed(),
-            unanswered: kept && matches!(self.doing.get(), Doing::Asking(_)),
-            unread: kept && matches!(self.doing.get(), Doing::Idle(_)) && has_come(socket),
+            unanswered: kept && matches!(self.state.get(), State::Asking(_)),
+            unread: kept && matches!(self.state.get(), State::Idle(_)) && has_come(socket),
         }
     }
 
     /// Waits until the peer has closed its end while a request of it is served and nobody reads. Has to be polled
     /// by the task that serves the connection, after it.
-    pub async fn left(&self, socket: &Socket) {
+    pub async fn abandoned(&self, socket: &Socket) {
         let mut look = pin!(sleep(LOOK_FOR_CLOSE));
         let mut closed = false;
         poll_fn(|cx| {
             loop {
-                if self.read.get() || !matches!(self.doing.get(), Doing::Served) {
+                if self.read.get() || !matches!(self.state.get(), State::Served) {
                     closed = false;
                     return Poll::Pending;
                 }
@@ -180,37 +180,37 @@
     /// is done with here before a slow client has read the last of its answer.
     /// Failure: the ends of long answers, handed over but not yet taken, were cut off as idle.
     fn limit(&self, room: Room) -> Option<Instant> {
-        match (self.unread.get(), self.doing.get()) {
+        match (self.unread.get(), self.state.get()) {
             (Some(since), _) => Some(since + UNREAD),
-            (None, Doing::Idle(since)) => {
+            (None, State::Idle(since)) => {
                 Some(since + if room == Room::Plenty { IDLE } else { IDLE_IN_A_CROWD })
             }
-            (None, Doing::Silent(since)) if room == Room::Full => {
+            (None, State::Silent(since)) if room == Room::Full => {
                 Some(since + SILENT_IN_A_FULL_TABLE)
             }
-            (None, Doing::Silent(since) | Doing::Asking(since)) => Some(since + HEAD_WITHIN),
-            (None, Doing::Served) => None,
+            (None, State::Silent(since) | State::Asking(since)) => Some(since + HEAD_WITHIN),
+            (None, State::Served) => None,
         }
     }
 
     /// Something was written, or could not be.
-    fn wrote(&self, all_waits: bool) {
+    fn record_write(&self, all_waits: bool) {
         let now = Instant::now();
         self.unread.set(all_waits.then(|| self.unread.get().unwrap_or(now)));
-        if let (false, Doing::Idle(_)) = (all_waits, self.doing.get()) {
-            self.doing.set(Doing::Idle(now));
+        if let (false, State::Idle(_)) = (all_waits, self.state.get()) {
+            self.state.set(State::Idle(now));
         }
     }
 }
 
 /// A request's time on a connection.
-pub struct Turn {
-    talk: Rc<Talk>,
+pub struct RequestGuard {
+    connection: Rc<ClientConnection>,
     began: Instant,
     waited: Option<Instant>,
 }
 
-impl Turn {
+impl RequestGuard {
     /// When the request may have come at the earliest, where it was read at a moment as late as this.
     pub fn arrived(&self, read: Instant) -> Instant {
         self.waited.map_or(read, |since| since.min(read))
@@ -223,9 +223,9 @@
     }
 }
 
-impl Drop for Turn {
+impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.talk.doing.set(Doing::Idle(Instant::now()));
+        self.connection.state.set(State::Idle(Instant::now()));
     }
 }
 
@@ -248,25 +248,25 @@
 }
 
 /// A stream that tells what its peer does.
-pub struct Watched {
+pub struct ObservedStream {
     pub inner: TokioIo<Socket>,
-    pub talk: Rc<Talk>,
+    pub connection: Rc<ClientConnection>,
 }
 
-impl Read for Watched {
+impl Read for ObservedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: ReadBufCursor<'_>,
     ) -> Poll<std::io::Result<()>> {
         let read = Pin::new(&mut self.inner).poll_read(cx, buf);
-        self.talk.read.set(read.is_pending());
-        match (self.talk.doing.get(), &read) {
-            (Doing::Idle(_), Poll::Ready(Ok(()))) => {
-                self.talk.doing.set(Doing::Asking(Instant::now()));
+        self.connection.read.set(read.is_pending());
+        match (self.connection.state.get(), &read) {
+            (State::Idle(_), Poll::Ready(Ok(()))) => {
+                self.connection.state.set(State::Asking(Instant::now()));
             }
-            (Doing::Silent(since), Poll::Ready(Ok(()))) => {
-                self.talk.doing.set(Doing::Asking(since));
+            (State::Silent(since), Poll::Ready(Ok(()))) => {
+                self.connection.state.set(State::Asking(since));
             }
             _ => {}
         }
@@ -274,14 +274,14 @@
     }
 }
 
-impl Write for Watched {
+impl Write for ObservedStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
         let written = Pin::new(&mut self.inner).poll_write(cx, buf);
-        self.talk.wrote(written.is_pending());
+        self.connection.record_write(written.is_pending());
         written
     }
 
@@ -291,7 +291,7 @@
         bufs: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
         let written = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
-        self.talk.wrote(written.is_pending());
+        self.connection.record_write(written.is_pending());
         written
     }
 
--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -29,11 +29,11 @@
 use tokio::task::unconstrained;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::bodies::{AnswerBody, Broken, KEPT, LARGEST, Memory, Payload, Upload};
+use crate::bodies::{AnswerBody, Broken, KEPT, LARGEST, Memory, Payload, RequestBody};
+use crate::client_connection::{ClientConnection, ObservedStream, RequestGuard, Room, close};
 use crate::engine::{Arrival, Handle, Reply};
 use crate::lifecycle::{LINGER, Lifecycle};
-use crate::succession::Mark;
-use crate::talk::{self, Room, Talk, Turn, Watched};
+use crate::succession::ProcessRegistration;
 use crate::upstreams::Forward;
 use hollowpaddle::figures::{End, Figures};
 use hollowpaddle::socket::{Peer, Socket, Unread, after_failed_accept};
@@ -106,7 +106,7 @@
     pub async fn serve(
         self: Rc<Self>,
         listener: TcpListener,
-        mark: Mark,
+        registration: ProcessRegistration,
         stop: impl Future<Output = ()>,
     ) {
         tokio::select! {
@@ -116,7 +116,7 @@
         self.engine.ending(self.engine.arrived() + self.time_to_end());
         // New connections still find us for a moment; where a newer process listens too, they are led to that one.
         // From here each answer asks its client to go elsewhere.
-        let mut ending = mark.end();
+        let mut ending = registration.end();
         let succeeded = ending.succeeded();
         self.lifecycle.stop(succeeded);
         let turn = if succeeded {
@@ -222,36 +222,37 @@
         let _ = stream.set_nodelay(true);
         let socket = Socket::new(stream);
         let waited = backlog_since.filter(|_| socket.unread() == Unread::Bytes);
-        let over = self.talk_with(&socket, waited).await;
+        let over = self.run_connection(&socket, waited).await;
         if matches!(over, Over::Served) {
-            talk::close(socket, self.crowded()).await;
+            close(socket, self.crowded()).await;
         }
         self.open.set(self.open.get() - 1);
     }
 
-    async fn talk_with(&self, socket: &Socket, waited: Option<Instant>) -> Over {
-        let talk = Rc::new(Talk::new(waited));
-        let service = service_fn(|request| self.respond(request, socket, &talk));
-        let watched = Watched { inner: TokioIo::new(socket.clone()), talk: talk.clone() };
+    async fn run_connection(&self, socket: &Socket, waited: Option<Instant>) -> Over {
+        let client = Rc::new(ClientConnection::new(waited));
+        let service = service_fn(|request| self.respond(request, socket, &client));
+        let stream =
+            ObservedStream { inner: TokioIo::new(socket.clone()), connection: client.clone() };
         let connection =
-            http1::Builder::new().max_buf_size(HEAD_LIMIT).serve_connection(watched, service);
+            http1::Builder::new().max_buf_size(HEAD_LIMIT).serve_connection(stream, service);
         tokio::pin!(connection);
-        let lost = talk.lost(socket, || self.room(), &self.crowd);
-        let left = talk.left(socket);
+        let timed_out = client.timed_out(socket, || self.room(), &self.crowd);
+        let abandoned = client.abandoned(socket);
         let time_to_close = self.lifecycle.time_to_close();
-        tokio::pin!(lost, left, time_to_close);
+        tokio::pin!(timed_out, abandoned, time_to_close);
         let mut closing = false;
         loop {
             // First what has come: a request that crosses with the end of its time is taken.
             tokio::select! {
                 biased;
                 _ = &mut connection => {
-                    return if talk.answered_lately() { Over::Served } else { Over::Idle };
+                    return if client.answered_lately() { Over::Served } else { Over::Idle };
                 }
-                () = &mut lost => return Over::Lost,
-                () = &mut left => return Over::Left,
+                () = &mut timed_out => return Over::Lost,
+                () = &mut abandoned => return Over::Left,
                 () = &mut time_to_close, if !closing => {
-                    if permit::close(&talk.owed(socket)).is_err() {
+                    if permit::close(&client.owed(socket)).is_err() {
                         // Its answer tells the client to go; closed now, hyper would forget what has come of it.
                         time_to_close.set(self.lifecycle.time_to_close());
                     } else {
@@ -279,18 +280,18 @@
         &self,
         request: Request<Incoming>,
         socket: &Socket,
-        talk: &Rc<Talk>,
+        connection: &Rc<ClientConnection>,
     ) -> Result<Answer, Infallible> {
-        let turn = Rc::new(talk.turn());
+        let guard = Rc::new(connection.begin_request());
         let routing = self.engine.routing();
-        let owed = Owed {
+        let unanswered = UnansweredRequest {
             request: request.headers().get("x-request-id").cloned(),
             client: socket.peer(),
             violations: self.figures.violations.clone(),
             answered: false,
         };
         if let Err(denial) = permit::start(socket.peer_closed()) {
-            tracing::debug!(request = owed.id(), %denial, "a request is not taken");
+            tracing::debug!(request = unanswered.id(), %denial, "a request is not taken");
             return Ok(bare(StatusCode::BAD_REQUEST));
         }
         let path = request.uri().path();
@@ -300,16 +301,16 @@
         } else if routing.catalog.is_single() && path != "/api" && !path.starts_with("/api/") {
             bare(StatusCode::NOT_FOUND)
         } else if let Some(place) = routing.find(host(&request), path) {
-            self.serve_one(request, place, socket.peer(), &turn).await
+            self.serve_one(request, place, socket.peer(), &guard).await
         } else {
             no_route(host(&request), path)
         };
-        owed.answered();
-        // Close to the limit, connections are given back so that waiting clients get their turn.
+        unanswered.answered();
+        // Close to the limit, connections are given back so that waiting clients get their guard.
         if !self.lifecycle.serving() || self.open.get() + self.most / 8 >= self.most {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        Ok(answer.map(|body| body.holding(turn)))
+        Ok(answer.map(|body| body.holding(guard)))
     }
 
     /// One request of a service.
@@ -318,7 +319,7 @@
         request: Request<Incoming>,
         (place, service): (ServiceId, &Service),
         client: Peer,
-        turn: &Rc<Turn>,
+        guard: &Rc<RequestGuard>,
     ) -> Answer {
         let (head, body) = request.into_parts();
         let id = head.headers.get("x-request-id").cloned();
@@ -326,24 +327,24 @@
         if length.is_some_and(|n| n > LARGEST) {
             return broken(Broken::TooLarge, &id);
         }
-        let upload = Upload::new(body, turn.patience());
+        let body = RequestBody::new(body, guard.patience());
         let room = length.map_or(KEPT, |n| usize::try_from(n).unwrap_or(KEPT).min(KEPT));
         let hold = self.memory.hold(room);
         let most = if hold.is_some() { KEPT } else { 0 };
-        let kept = match upload.keep(most, length).await {
+        let kept = match body.keep(most, length).await {
             Ok(kept) => kept,
             Err(why) => return broken(why, &id),
         };
         // The request's time runs from its last byte; while more is to come, that is still ahead.
         let arrival =
-            match arrival(place, service, &head, &kept, turn.arrived(self.engine.arrived())) {
+            match arrival(place, service, &head, &kept, guard.arrived(self.engine.arrived())) {
                 Ok(arrival) => arrival,
                 Err(what) => {
-                    drain(upload, turn);
+                    drain(body, guard);
                     return malformed(what);
                 }
             };
-        let rest = (!upload.is_whole()).then(|| upload.clone());
+        let rest = (!body.is_whole()).then(|| body.clone());
         let class = arrival.class;
         let taken = OnceCell::new();
         let take = || {
@@ -365,7 +366,7 @@
             Ok(reply) => reply,
             Err(why) => return broken(why, &id),
         };
-        drain(upload, turn);
+        drain(body, guard);
         let (end, answer) = match reply {
             Reply::Served(response) => {
                 let (mut head, served) = response.into_parts();
@@ -446,14 +447,14 @@
 
 /// A request that was read and has no answer yet. Where its connection ends first, it is named by the id that its
 /// client gave it, and counts as a broken rule unless the client has closed.
-struct Owed {
+struct UnansweredRequest {
     request: Option<HeaderValue>,
     client: Peer,
     violations: Violations,
     answered: bool,
 }
 
-impl Owed {
+impl UnansweredRequest {
     fn id(&self) -> Option<&str> {
         self.request.as_ref().and_then(|id| id.to_str().ok())
     }
@@ -463,7 +464,7 @@
     }
 }
 
-impl Drop for Owed {
+impl Drop for UnansweredRequest {
     fn drop(&mut self) {
         if self.answered {
             return;
@@ -480,12 +481,12 @@
 /// Reads what is still to come of a body whose request is answered: its client may look for the answer only
 /// then, and would be reset before.
 /// Failure: refused while they still sent, slow clients were cut off, and never saw that they were.
-fn drain(upload: Rc<Upload>, turn: &Rc<Turn>) {
-    if upload.is_coming() {
-        let turn = turn.clone();
+fn drain(body: Rc<RequestBody>, guard: &Rc<RequestGuard>) {
+    if body.is_coming() {
+        let guard = guard.clone();
         tokio::task::spawn_local(async move {
-            upload.drain().await;
-            drop(turn);
+            body.drain().await;
+            drop(guard);
         });
     }
 }
--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -20,7 +20,7 @@
 };
 use hollowpaddle::invariants::permit::Denial;
 use hollowpaddle::services::{
-    Catalog, Change, ReloadError, Routing, Service, ServiceId, Services, Told,
+    Catalog, Change, Notified, ReloadError, Routing, Service, ServiceId, Services,
 };
 use hollowpaddle::tasks::{AbortOnDrop, settle};
 use hyper::Response;
@@ -689,7 +689,7 @@
 
     fn listed(&mut self, list: &List, kind: ListKind) {
         self.services.clock_read(Clock::wall(), self.clock.now());
-        let Told { changes, members } = self.services.told(list, kind);
+        let Notified { changes, members } = self.services.told(list, kind);
         self.changed(&changes);
         for (service, members) in members {
             self.tell(service, Event::Members { kind, list: &members });
@@ -768,7 +768,7 @@
         let over = over || held.forward.body.is_spent();
         let (Some(target), false) = (target, over || twice) else {
             held.attempts.push(tried);
-            self.later.push_back((id, attempt, Ended::bare(Outcome::Moot)));
+            self.later.push_back((id, attempt, Ended::bare(Outcome::NotSent)));
             return;
         };
         let (pool, notes) = (self.pool.clone(), self.own_notes.clone());
--- a/src/bin/hollowpaddle/main.rs
+++ b/src/bin/hollowpaddle/main.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 
 mod bodies;
+mod client_connection;
 mod clients;
 mod config;
 mod engine;
@@ -13,7 +14,6 @@
 mod lifecycle;
 mod management;
 mod succession;
-mod talk;
 mod upstreams;
 
 use std::process::ExitCode;
@@ -36,7 +36,7 @@
 use engine::{Engine, Handle};
 use lifecycle::Lifecycle;
 use management::Management;
-use succession::{Mark, listen};
+use succession::{ProcessRegistration, listen};
 use upstreams::Pool;
 
 /// Bodies that are kept whole may use this part of the memory; buffers on the way and a second process beside
@@ -148,8 +148,8 @@
     let bound = listener.local_addr().map_err(|e| format!("listen on {}: {e}", config.listen))?;
     tracing::info!(name = config.name, "listening on {bound}");
     let front = Rc::new(Front::new(handle, lifecycle, figures, memory, budget.clients));
-    let mark = Mark::leave(bound, &listener);
-    let serve = front.serve(listener, mark, async move {
+    let registration = ProcessRegistration::leave(bound, &listener);
+    let serve = front.serve(listener, registration, async move {
         if let Err(cause) = term.recv().await {
             tracing::error!(%cause, "SIGTERM is not heard any more");
         }
--- a/src/bin/hollowpaddle/succession.rs
+++ b/src/bin/hollowpaddle/succession.rs
@@ -46,7 +46,7 @@
 /// This process's word that it serves an address: a file that it holds locked for as long as it lives. A file, for
 /// a process that is replaced hears of it from nobody: its successor knows neither its id nor where its operators
 /// call. Locked, for one that was killed leaves its file behind, and succeeds nobody.
-pub struct Mark {
+pub struct ProcessRegistration {
     folder: PathBuf,
     at: String,
     /// When this process began, and its id: marks sort by it in the order in which their processes began.
@@ -54,22 +54,22 @@
     _locked: Option<File>,
 }
 
-impl Mark {
+impl ProcessRegistration {
     /// Marks this process as one that serves what `listener` is bound to.
     pub fn leave(listen: SocketAddr, listener: &TcpListener) -> Self {
         let at = listen.to_string().replace(|c: char| !c.is_ascii_alphanumeric(), "-");
         let name = format!("{}-{}", started(), std::process::id());
-        let mut mark = Self { folder: std::env::temp_dir(), at, name, _locked: None };
-        let locked = lock(&mark.folder, &mark.file(SERVES)).inspect_err(|cause| {
-            let folder = mark.folder.display();
+        let mut registration = Self { folder: std::env::temp_dir(), at, name, _locked: None };
+        let locked = lock(&registration.folder, &registration.file(SERVES)).inspect_err(|cause| {
+            let folder = registration.folder.display();
             tracing::warn!(%cause, %folder, "no mark left for a process replaced");
         });
-        mark._locked = locked.ok();
+        registration._locked = locked.ok();
         // One that ended before may have left its word on where new connections go.
-        if mark.processes().len() > 1 {
+        if registration.processes().len() > 1 {
             let _ = lead(listener, NO_PLACE);
         }
-        mark
+        registration
     }
 
     /// Says that this process ends, and finds those that serve the address on. In doubt there is none. Of two that
@@ -77,7 +77,7 @@
     pub fn end(self) -> Ending {
         let _ = std::fs::rename(self.path(SERVES), self.path(ENDS));
         let group = self.processes();
-        Ending { mark: self, group }
+        Ending { registration: self, group }
     }
 
     fn prefix(&self, word: &str) -> String {
@@ -124,7 +124,7 @@
 
 /// The end of this process's service at an address, until it is dropped.
 pub struct Ending {
-    mark: Mark,
+    registration: ProcessRegistration,
     /// Those that listen at the address in the kernel's order: who begins is its last, and where one leaves, the last
     /// takes its place.
     group: Vec<Process>,
@@ -132,7 +132,7 @@
 
 impl Drop for Ending {
     fn drop(&mut self) {
-        let _ = std::fs::remove_file(self.mark.path(ENDS));
+        let _ = std::fs::remove_file(self.registration.path(ENDS));
     }
 }
 
@@ -169,7 +169,8 @@
 
     /// Waits while another process ends at the address, so that the group is what it was found to be.
     async fn turn(&self) -> Option<File> {
-        let file = File::create(self.mark.folder.join(self.mark.prefix("turn"))).ok()?;
+        let file =
+            File::create(self.registration.folder.join(self.registration.prefix("turn"))).ok()?;
         let until = Instant::now() + TURN;
         while Instant::now() < until {
             match file.try_lock() {
@@ -183,7 +184,7 @@
 
     /// Takes over who has come, gone, or ends by now.
     fn look_again(&mut self) {
-        let mut now = self.mark.processes();
+        let mut now = self.registration.processes();
         let mut place = 0;
         while let Some(known) = self.group.get_mut(place) {
             match now.iter().position(|process| process.name == known.name) {
--- a/src/bin/hollowpaddle/succession/tests.rs
+++ b/src/bin/hollowpaddle/succession/tests.rs
@@ -9,14 +9,15 @@
 /// whose they are.
 struct Node {
     listener: TcpListener,
-    mark: Mark,
+    registration: ProcessRegistration,
 }
 
 impl Node {
     fn start(at: SocketAddr) -> Self {
         let listener = listen(at).expect("an address");
-        let mark = Mark::leave(listener.local_addr().expect("bound"), &listener);
-        Self { listener, mark }
+        let registration =
+            ProcessRegistration::leave(listener.local_addr().expect("bound"), &listener);
+        Self { listener, registration }
     }
 
     fn address(&self) -> SocketAddr {
@@ -54,7 +55,7 @@
         let at = older.address();
         let newer = Node::start(at);
         let (ends, stays) = if older_ends { (older, newer) } else { (newer, older) };
-        let mut ending = ends.mark.end();
+        let mut ending = ends.registration.end();
         assert!(ending.succeeded());
         let _turn = ending.lead_away(&ends.listener).await;
         assert_eq!(comers(at, &[&ends.listener, &stays.listener]).await, [0, CLIENTS]);
@@ -71,7 +72,7 @@
         let mut group = vec![first, Node::start(at), Node::start(at)];
         let stays = group.remove(stays);
         let mut endings: Vec<(TcpListener, Ending)> =
-            group.into_iter().map(|node| (node.listener, node.mark.end())).collect();
+            group.into_iter().map(|node| (node.listener, node.registration.end())).collect();
         if older_first {
             endings.reverse();
         }
@@ -91,7 +92,7 @@
     let first = Node::start(anywhere());
     let at = first.address();
     let (second, _stays) = (Node::start(at), Node::start(at));
-    let (mut one, mut other) = (first.mark.end(), second.mark.end());
+    let (mut one, mut other) = (first.registration.end(), second.registration.end());
     let turn = one.lead_away(&first.listener).await.expect("nobody else ends");
     assert!(timeout(SETTLE, other.lead_away(&second.listener)).await.is_err(), "it waits");
     drop((first.listener, one, turn));
@@ -103,7 +104,7 @@
     let older = Node::start(anywhere());
     let at = older.address();
     let newer = Node::start(at);
-    let mut ending = older.mark.end();
+    let mut ending = older.registration.end();
     let turn = ending.lead_away(&older.listener).await;
     drop((older.listener, ending, turn));
     let newest = Node::start(at);
@@ -118,12 +119,12 @@
     let at = older.address();
     let killed = Node::start(at);
     // What a SIGKILL leaves: the file without its lock.
-    let file = killed.mark.path(SERVES);
-    drop((killed.listener, killed.mark));
+    let file = killed.registration.path(SERVES);
+    drop((killed.listener, killed.registration));
     assert!(file.exists());
     let newer = Node::start(at);
-    let (one, other) = (older.mark.end(), newer.mark.end());
-    assert!(!file.exists(), "nobody's mark is removed");
+    let (one, other) = (older.registration.end(), newer.registration.end());
+    assert!(!file.exists(), "nobody's registration is removed");
     assert!(one.succeeded(), "the other served then");
     assert!(!other.succeeded());
 }
--- a/src/bin/hollowpaddle/upstreams.rs
+++ b/src/bin/hollowpaddle/upstreams.rs
@@ -94,7 +94,7 @@
 
     /// The guard did not let it begin.
     pub fn denied(denial: Denial) -> Self {
-        Self { denial: Some(denial), ..Self::bare(Outcome::Moot) }
+        Self { denial: Some(denial), ..Self::bare(Outcome::NotSent) }
     }
 }
 
@@ -448,7 +448,7 @@
                 }
             }
             let Some(request) = forward.request(until, sent, &link.written, guard) else {
-                return Ended::bare(Outcome::Moot);
+                return Ended::bare(Outcome::NotSent);
             };
             let again = || reused && sent.untouched() && !forward.body.is_spent();
             let answer = link.sender.send_request(request).await;
@@ -502,7 +502,7 @@
             None
         } else {
             let back = (self.clone(), server, link);
-            Some(Relay::new(forward, body, kept.len(), length, back))
+            Some(StreamedResponse::new(forward, body, kept.len(), length, back))
         };
         let response =
             serves.then(|| Box::new(Response::from_parts(head, Served { kept, rest, hold })));
@@ -574,7 +574,7 @@
 }
 
 /// The rest of an answer, on its way from an upstream. Dropped before its end, it closes the connection.
-pub struct Relay {
+pub struct StreamedResponse {
     /// The id of the request that it answers.
     request: Option<String>,
     body: Incoming,
@@ -590,7 +590,7 @@
     over: bool,
 }
 
-impl Relay {
+impl StreamedResponse {
     /// Of an answer of which so much is passed on already, and its whole size where that is known.
     fn new(
         forward: &Forward,
--- a/src/figures/mod.rs
+++ b/src/figures/mod.rs
@@ -124,7 +124,7 @@
             Outcome::Error | Outcome::Reset => drop(self.errors.inc()),
             Outcome::Full => drop(self.refused.inc()),
             Outcome::ConnectFailed => drop(self.unreachable.inc()),
-            Outcome::Cancelled | Outcome::Moot => {}
+            Outcome::Cancelled | Outcome::NotSent => {}
         }
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -439,13 +439,13 @@
     /// Withdrawn by us; may have run.
     Cancelled,
     /// Never issued.
-    Moot,
+    NotSent,
 }
 
 impl Outcome {
     /// Whether it proves that the attempt never ran.
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
+        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent)
     }
 }
 
--- a/src/policy/membership.rs
+++ b/src/policy/membership.rs
@@ -8,7 +8,13 @@
 const FAR: f64 = 1.0;
 
 impl Balancer {
-    pub(super) fn members(&mut self, now: Time, kind: ListKind, list: &[Member], out: &mut Vec<Action>) {
+    pub(super) fn members(
+        &mut self,
+        now: Time,
+        kind: ListKind,
+        list: &[Member],
+        out: &mut Vec<Action>,
+    ) {
         if kind == ListKind::Unavailable {
             let lost = std::mem::take(&mut self.ask.subscribed);
             self.ask.failures = (self.ask.failures + 1).min(3);
--- a/src/services/directory.rs
+++ b/src/services/directory.rs
@@ -26,7 +26,7 @@
 
 /// What one list tells.
 #[derive(Debug, Default)]
-pub struct Told {
+pub struct Notified {
     /// What became of each upstream that the list names, and of those that a whole one leaves out.
     pub changes: Vec<Change>,
     /// Each service's members in the module's words, in the list's order. Of a whole list every service has its part,
@@ -34,7 +34,7 @@
     pub members: Vec<(ServiceId, Vec<Member>)>,
 }
 
-impl Told {
+impl Notified {
     /// The part of this service, made where there is none yet.
     pub fn part(&mut self, service: ServiceId) -> &mut Vec<Member> {
         // A whole list has the parts in order; one of changes has few.
@@ -162,8 +162,8 @@
     }
 
     /// Takes in a list: a change costs what it names, a whole list what there is.
-    pub fn told(&mut self, list: &Message, kind: ListKind) -> Told {
-        let mut told = Told::default();
+    pub fn told(&mut self, list: &Message, kind: ListKind) -> Notified {
+        let mut told = Notified::default();
         if kind != ListKind::Update {
             told.members = self.services().map(|service| (service, Vec::new())).collect();
             self.leave_out(list, &mut told.changes);
@@ -186,7 +186,7 @@
         }
     }
 
-    fn entry(&mut self, entry: &Entry, told: &mut Told) {
+    fn entry(&mut self, entry: &Entry, told: &mut Notified) {
         let known = self.by_id.get(&entry.id).copied();
         let of = known.map(|server| self.servers[server.0 as usize].service);
         // One that is deleted may no longer say whose it was.
--- a/src/services/mod.rs
+++ b/src/services/mod.rs
@@ -14,7 +14,7 @@
 use std::rc::Rc;
 
 pub use catalog::{Catalog, CatalogError, Narrowed, Overrides, Service, ServiceEntry};
-pub use directory::{Change, Directory, Told};
+pub use directory::{Change, Directory, Notified};
 
 use crate::discovery::member::Message;
 use crate::interface::{Action, Event, ListKind, SettingsError, Span, Status, Time};
@@ -180,7 +180,7 @@
     }
 
     /// Takes in a list, and says what each service has to be told of it, by [`Services::handle`].
-    pub fn told(&mut self, list: &Message, kind: ListKind) -> Told {
+    pub fn told(&mut self, list: &Message, kind: ListKind) -> Notified {
         let mut told = self.directory.told(list, kind);
         // Whoever asks for lists hears of each, or it would ask on.
         if let Some(asks) = self.asks() {
--- a/src/services/tests.rs
+++ b/src/services/tests.rs
@@ -74,7 +74,7 @@
         }
     }
 
-    fn list(&mut self, kind: ListKind, members: Vec<Entry>) -> Told {
+    fn list(&mut self, kind: ListKind, members: Vec<Entry>) -> Notified {
         self.revision += 1;
         let complete = kind != ListKind::Update;
         let list = Message { revision: self.revision, complete, members };
