A list that could not be kept is written again once the disk takes writes

What callers saw: found by audit: where the write of a proxy's last list failed (ENOSPC, EIO), a restart went on with an older list, one that still names upstreams that have gone, until the next change of the list. Cause: the keeper wrote only when news came, and forgot that the last write had failed. Change: after a failed write it writes again every second. Evidence: unit test, the folder is gone and comes back with no news since: fails without the retry by its 20 s limit (by reading; not run), passes with it.

--- a/src/discovery/keeper.rs
+++ b/src/discovery/keeper.rs
@@ -5,8 +5,9 @@
 //! file that can't be read costs nothing but itself: the configuration's list is served from instead.
 
 use std::path::{Path, PathBuf};
-use std::sync::mpsc;
+use std::sync::mpsc::{self, RecvTimeoutError};
 use std::thread;
+use std::time::Duration;
 
 use super::kept::List;
 use super::member::Message;
@@ -16,6 +17,8 @@
 
 /// The file's name.
 pub const FILE: &str = "last-list";
+/// How long after a failed write the list is written once more.
+const RETRY: Duration = Duration::from_secs(1);
 
 /// The list found at the start, and who keeps what it becomes.
 #[derive(Debug)]
@@ -69,6 +72,18 @@
     write_whole(&dir.join(FILE), &data)
 }
 
+/// Waits for news, or for the time to write once more what could not be kept; `None` once there will be no more news.
+fn next(news: &mpsc::Receiver<Message>, is_kept: bool) -> Option<Option<Message>> {
+    if is_kept {
+        return news.recv().ok().map(Some);
+    }
+    match news.recv_timeout(RETRY) {
+        Ok(message) => Some(Some(message)),
+        Err(RecvTimeoutError::Timeout) => Some(None),
+        Err(RecvTimeoutError::Disconnected) => None,
+    }
+}
+
 impl Keeper {
     /// Opens `dir`, made where it is not there, with the list that it holds, if any.
     ///
@@ -87,10 +102,13 @@
         let (writer, news) = mpsc::channel::<Message>();
         let (dir, mut kept) = (dir.to_owned(), list.clone());
         let spawned = thread::Builder::new().name("keeper".into()).spawn(move || {
-            while let Ok(first) = news.recv() {
+            let mut is_kept = true;
+            while let Some(first) = next(&news, is_kept) {
                 // What came since goes into the same write.
-                std::iter::once(first).chain(news.try_iter()).for_each(|n| kept.update(&n));
-                if let Err(error) = write(&dir, &kept) {
+                first.into_iter().chain(news.try_iter()).for_each(|n| kept.update(&n));
+                let written = write(&dir, &kept);
+                is_kept = written.is_ok();
+                if let Err(error) = written {
                     tracing::warn!(%error, "the last list is not kept");
                 }
             }
--- a/src/discovery/keeper/tests.rs
+++ b/src/discovery/keeper/tests.rs
@@ -22,3 +22,23 @@
     }
     std::fs::remove_dir_all(&dir).expect("removed");
 }
+
+#[test]
+fn a_list_that_could_not_be_written_is_kept_once_the_disk_takes_writes() {
+    let dir = std::env::temp_dir().join(format!("keeper-retry-{}", std::process::id()));
+    let keeper = Keeper::open(&dir).expect("a folder");
+    std::fs::remove_dir_all(&dir).expect("removed: writes fail");
+    let list = Message { revision: 7, complete: true, members: Vec::new() };
+    keeper.keep(list.clone());
+    thread::sleep(Duration::from_millis(100));
+    std::fs::create_dir_all(&dir).expect("a folder again");
+    let from = std::time::Instant::now();
+    while read(&dir).ok().flatten().as_ref() != Some(&list) {
+        assert!(
+            from.elapsed() < Duration::from_secs(20),
+            "no news came since, and nothing is kept"
+        );
+        thread::sleep(Duration::from_millis(10));
+    }
+    std::fs::remove_dir_all(&dir).expect("removed");
+}
