--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -58,6 +58,7 @@
 type Answer = Response<AnswerBody>;
 
 /// How a connection with a client came to its end.
+#[derive(Debug)]
 enum Over {
     /// Either side was done with it.
     Served,
@@ -223,6 +224,7 @@
         let socket = Socket::new(stream);
         let waited = backlog_since.filter(|_| socket.unread() == Unread::Bytes);
         let over = self.run_connection(&socket, waited).await;
+        tracing::debug!(reason = ?over, "a client's connection ends");
         if matches!(over, Over::Served) {
             close(socket, self.crowded()).await;
         }
--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -115,6 +115,18 @@
     Failed { late: bool },
 }
 
+impl Reply {
+    /// Its kind, for the log.
+    fn name(&self) -> &'static str {
+        match self {
+            Reply::Served(_) => "served",
+            Reply::Refused { .. } => "refused",
+            Reply::Failed { late: true } => "timed out",
+            Reply::Failed { late: false } => "failed",
+        }
+    }
+}
+
 /// The engine as clients' connections and signals see it.
 #[derive(Clone)]
 pub struct Handle {
@@ -577,6 +589,7 @@
         let Some(held) = self.requests.get_mut(&id) else { return };
         if held.reply.take().is_some() {
             held.live.set(false);
+            tracing::debug!(request = held.forward.id(), "its client has left");
             let service = held.service;
             self.handle(service, Event::Left(id));
         }
@@ -634,6 +647,8 @@
         let Some(held) = self.requests.get_mut(&id) else { return false };
         let Some(sender) = held.reply.take() else { return false };
         held.live.set(false);
+        let attempts = held.attempts.len();
+        tracing::debug!(request = held.forward.id(), reply = reply.name(), attempts, "answered");
         let _ = sender.send(reply);
         true
     }
@@ -647,6 +662,9 @@
         let Some(tried) = held.attempts.get_mut(attempt) else { return };
         tried.task = None;
         let (server, latency) = (tried.server, tried.sent.elapsed());
+        let (outcome, denial) = (ended.outcome, ended.denial);
+        let request = held.forward.id();
+        tracing::debug!(request, attempt, ?server, ?outcome, ?denial, ?latency, "an attempt ended");
         held.last = Some(ended.outcome);
         if let Some(figures) = self.upstreams.figures(server) {
             figures.ended(ended.outcome, latency);
@@ -775,6 +793,7 @@
         let (forward, live) = (held.forward.clone(), held.live.clone());
         let (before, violations) = (self.clock.instant(before), self.figures.violations.clone());
         let guard = AttemptGuard::new(forward, live, target, before, violations);
+        tracing::debug!(request = held.forward.id(), attempt, ?server, "an attempt begins");
         if let Err(denial) = guard.check() {
             held.attempts.push(tried);
             self.later.push_back((id, attempt, Ended::denied(denial)));
--- a/src/bin/hollowpaddle/main.rs
+++ b/src/bin/hollowpaddle/main.rs
@@ -63,7 +63,7 @@
     let cli = Cli::parse();
     let role = Command::role(cli.command.as_ref());
     let process = std::env::var("LB_NAME").unwrap_or_else(|_| role.to_owned());
-    let _process = hollowpaddle::logging::init(cli.log_format, &process, role);
+    let _process = hollowpaddle::logging::init(cli.log_format, cli.log_level, &process, role);
     let ended = match cli.command {
         None | Some(Command::Proxy) => start(),
         Some(Command::Discovery(args)) => roles::discovery(&args).map_err(Failure::from),
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -28,6 +28,10 @@
     /// line, with the process's name and role).
     #[arg(long, value_enum, env = "LB_LOG_FORMAT", default_value_t = LogFormat::Text, global = true)]
     pub log_format: LogFormat,
+    /// The least weighty lines that are written. `debug` has a line for each request that is taken, sent, answered or
+    /// given up, with its reason: for a search, not for service.
+    #[arg(long, value_enum, env = "LB_LOG_LEVEL", default_value_t = LogLevel::Info, global = true)]
+    pub log_level: LogLevel,
     /// The role; `proxy` when none is named.
     #[command(subcommand)]
     pub command: Option<Command>,
@@ -42,6 +46,19 @@
     Json,
 }
 
+/// The least weighty log lines that are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum LogLevel {
+    /// What went wrong here.
+    Error,
+    /// What may become trouble.
+    Warn,
+    /// What changed.
+    Info,
+    /// What became of each request.
+    Debug,
+}
+
 /// One role of the program.
 #[derive(Debug, Subcommand)]
 pub enum Command {
