--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -1,10 +1,12 @@
 //! Owns the decision module, the table of requests and the timers. Feeds the module every event in the
 //! order it came, and carries out its actions in the order it gave them. Decides nothing.
 
+mod handle;
+mod upstream_table;
+
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -13,26 +15,25 @@
 use hollowpaddle::discovery::follow::{Follow, Mode};
 use hollowpaddle::discovery::keeper::Keeper;
 use hollowpaddle::discovery::member::Message as List;
-use hollowpaddle::figures::{self, Figures};
+use hollowpaddle::figures::Figures;
 use hollowpaddle::interface as d;
-use hollowpaddle::interface::{
-    Action, Event, ListKind, Outcome, RequestId, ServerId, Span, Status, Time,
-};
+use hollowpaddle::interface::{Action, Event, ListKind, Outcome, RequestId, ServerId, Span, Time};
 use hollowpaddle::invariants::permit::Denial;
 use hollowpaddle::services::{
     Catalog, Change, Notified, ReloadError, Routing, Service, ServiceId, Services,
 };
 use hollowpaddle::tasks::{AbortOnDrop, settle};
-use hyper::Response;
 use rustc_hash::FxHashMap;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 
-use crate::bodies::{Broken, Served};
 use crate::config::Config;
 use crate::guard::AttemptGuard;
 use crate::lateness::Lateness;
-use crate::upstreams::{Ended, Forward, Pool, Target};
+use crate::upstreams::{Ended, Forward, Pool};
+use handle::Note;
+pub use handle::{Arrival, Handle, Reply};
+use upstream_table::UpstreamTable;
 
 /// The module works to this much less than the client's deadline, so that an answer at the deadline still
 /// arrives: the way to the client, and a busy moment here. Of a short time it is a quarter.
@@ -71,159 +72,6 @@
     until - headroom / BACKSTOP_OF
 }
 
-/// What the engine is told.
-pub enum Note {
-    Arrived {
-        id: RequestId,
-        arrival: Arrival,
-        forward: Box<Forward>,
-        reply: oneshot::Sender<Reply>,
-    },
-    Left(RequestId),
-    /// The body of a request that arrived before it was whole is whole now.
-    Whole(RequestId),
-    Ended {
-        id: RequestId,
-        attempt: usize,
-        ended: Ended,
-    },
-    DiscoveryMoved(Vec<SocketAddr>),
-    /// These services and routes are to be in force.
-    Reload(Option<Rc<Catalog>>),
-    /// The process ends; by then all that was taken has to be answered.
-    Ending(Instant),
-    /// How many upstreams the list names, and how many of them the module avoids.
-    Pool(oneshot::Sender<(usize, usize)>),
-}
-
-/// A request as the module needs to know it.
-pub struct Arrival {
-    pub service: ServiceId,
-    pub class: usize,
-    pub tenant: usize,
-    pub key: Option<u64>,
-    /// When the client gives up.
-    pub until: Instant,
-    pub cost_guess: Option<Span>,
-    pub resent: bool,
-}
-
-/// The one final answer.
-pub enum Reply {
-    Served(Box<Response<Served>>),
-    Refused { retry_after: Span },
-    Failed { late: bool },
-}
-
-impl Reply {
-    /// Its kind, for the log.
-    fn name(&self) -> &'static str {
-        match self {
-            Reply::Served(_) => "served",
-            Reply::Refused { .. } => "refused",
-            Reply::Failed { late: true } => "timed out",
-            Reply::Failed { late: false } => "failed",
-        }
-    }
-}
-
-/// The engine as clients' connections and signals see it.
-#[derive(Clone)]
-pub struct Handle {
-    notes: mpsc::UnboundedSender<Note>,
-    next: Rc<Cell<u64>>,
-    ready: Rc<Cell<bool>>,
-    routing: Rc<RefCell<Rc<Routing>>>,
-    lateness: Rc<Lateness>,
-}
-
-impl Handle {
-    /// The earliest moment at which what is read now may have come.
-    pub fn arrived(&self) -> Instant {
-        self.lateness.arrived(Instant::now())
-    }
-
-    /// Which request is whose, as it is in force now.
-    pub fn routing(&self) -> Rc<Routing> {
-        self.routing.borrow().clone()
-    }
-
-    /// These services and routes are to be in force, if they can take the place of those that are; `None` for a
-    /// configuration that names no services.
-    pub fn reload(&self, catalog: Option<Rc<Catalog>>) {
-        let _ = self.notes.send(Note::Reload(catalog));
-    }
-
-    /// Whether there is anywhere to send to.
-    pub fn ready(&self) -> bool {
-        self.ready.get()
-    }
-
-    /// The list is to be had from these addresses from now on.
-    pub fn discovery_moved(&self, addresses: Vec<SocketAddr>) {
-        let _ = self.notes.send(Note::DiscoveryMoved(addresses));
-    }
-
-    /// All that is taken, now or later, is answered by then.
-    pub fn ending(&self, by: Instant) {
-        let _ = self.notes.send(Note::Ending(by));
-    }
-
-    /// How many upstreams the list names, and how many of them get nothing now.
-    pub async fn pool(&self) -> (usize, usize) {
-        let (reply, answer) = oneshot::channel();
-        let _ = self.notes.send(Note::Pool(reply));
-        answer.await.unwrap_or_default()
-    }
-
-    /// Hands in a request and waits for its answer. Dropped before that, it tells that the client left. Of a
-    /// body that is still coming, `whole` is told its end; one that breaks has no answer.
-    pub async fn ask(
-        &self,
-        arrival: Arrival,
-        forward: Forward,
-        whole: impl FnOnce(),
-    ) -> Result<Reply, Broken> {
-        let id = RequestId(self.next.replace(self.next.get() + 1));
-        let (reply, mut answer) = oneshot::channel();
-        let rest = forward.body.rest.clone();
-        let _ = self.notes.send(Note::Arrived { id, arrival, forward: Box::new(forward), reply });
-        let mut leaving = Leaving { id, notes: Some(&self.notes) };
-        let mut early = None;
-        if let Some(rest) = rest {
-            tokio::select! {
-                biased;
-                how = rest.ended() => {
-                    how?;
-                    whole();
-                    let _ = self.notes.send(Note::Whole(id));
-                }
-                answer = &mut answer => early = Some(answer),
-            }
-        }
-        let answer = match early {
-            Some(answer) => answer,
-            None => answer.await,
-        };
-        leaving.notes = None;
-        Ok(answer.unwrap_or(Reply::Failed { late: false }))
-    }
-}
-
-/// Tells of a client that went away before its answer.
-struct Leaving<'a> {
-    id: RequestId,
-    notes: Option<&'a mpsc::UnboundedSender<Note>>,
-}
-
-impl Drop for Leaving<'_> {
-    fn drop(&mut self) {
-        if let Some(notes) = self.notes {
-            let _ = notes.send(Note::Left(self.id));
-        }
-    }
-}
-
 /// A request that is owed an answer, or has attempts out.
 struct Held {
     service: ServiceId,
@@ -275,7 +123,7 @@
     actions: Vec<Action>,
     later: VecDeque<Later>,
     pool: Rc<Pool>,
-    upstreams: Upstreams,
+    upstreams: UpstreamTable,
     ready: Rc<Cell<bool>>,
     routing: Rc<RefCell<Rc<Routing>>>,
     figures: Rc<Figures>,
@@ -378,7 +226,7 @@
             actions: Vec::new(),
             later: VecDeque::new(),
             pool,
-            upstreams: Upstreams::default(),
+            upstreams: UpstreamTable::default(),
             ready,
             routing,
             figures,
@@ -768,7 +616,7 @@
             }
             Action::CloseIdle { server } => self.pool.close_idle(server),
             Action::Subscribe => self.order(Order::Ask),
-            // Upstreams here take no probes, and the module sends none where that is so.
+            // UpstreamTable here take no probes, and the module sends none where that is so.
             Action::Probe { .. } => {}
         }
     }
@@ -807,48 +655,5 @@
     }
 }
 
-/// The upstreams as connections know them, by the module's handle.
-#[derive(Default)]
-struct Upstreams {
-    targets: Vec<Rc<Target>>,
-    /// Of the same upstreams, where operators can ask for them.
-    figures: Vec<Option<figures::Upstream>>,
-}
-
-impl Upstreams {
-    fn target(&self, server: ServerId) -> Option<Rc<Target>> {
-        self.targets.get(server.0 as usize).cloned()
-    }
-
-    fn figures(&self, server: ServerId) -> Option<&figures::Upstream> {
-        self.figures.get(server.0 as usize)?.as_ref()
-    }
-
-    /// Takes in what became of an upstream.
-    fn change(&mut self, change: &Change, pool: &Pool, figures: &Figures) {
-        let at = change.server.0 as usize;
-        // Handles count up from 0, in the order in which upstreams are first named.
-        if at == self.targets.len() {
-            let target = Target { address: Cell::new(change.address), closed: Cell::new(false) };
-            self.targets.push(Rc::new(target));
-            self.figures.push(None);
-        }
-        let (Some(target), Some(counted)) = (self.targets.get(at), self.figures.get_mut(at)) else {
-            return;
-        };
-        if target.address.replace(change.address) != change.address {
-            pool.close_idle(change.server);
-        }
-        target.closed.set(change.status != Status::Live);
-        if change.status != Status::Gone {
-            if counted.is_none() {
-                *counted = figures.upstream(&change.id);
-            }
-        } else if counted.take().is_some() {
-            figures.forget(&change.id);
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/bin/hollowpaddle/engine/tests.rs
+++ b/src/bin/hollowpaddle/engine/tests.rs
@@ -1,4 +1,4 @@
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 
 use bytes::Bytes;
 use hollowpaddle::settings::Facts;
--- /dev/null
+++ b/src/bin/hollowpaddle/engine/upstream_table.rs
@@ -0,0 +1,53 @@
+//! The upstreams as connections know them.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use hollowpaddle::figures::{self, Figures};
+use hollowpaddle::interface::{ServerId, Status};
+use hollowpaddle::services::Change;
+
+use crate::upstreams::{Pool, Target};
+
+/// The upstreams as connections know them, by the module's handle.
+#[derive(Default)]
+pub(super) struct UpstreamTable {
+    pub(super) targets: Vec<Rc<Target>>,
+    /// Of the same upstreams, where operators can ask for them.
+    pub(super) figures: Vec<Option<figures::Upstream>>,
+}
+
+impl UpstreamTable {
+    pub(super) fn target(&self, server: ServerId) -> Option<Rc<Target>> {
+        self.targets.get(server.0 as usize).cloned()
+    }
+
+    pub(super) fn figures(&self, server: ServerId) -> Option<&figures::Upstream> {
+        self.figures.get(server.0 as usize)?.as_ref()
+    }
+
+    /// Takes in what became of an upstream.
+    pub(super) fn change(&mut self, change: &Change, pool: &Pool, figures: &Figures) {
+        let at = change.server.0 as usize;
+        // Handles count up from 0, in the order in which upstreams are first named.
+        if at == self.targets.len() {
+            let target = Target { address: Cell::new(change.address), closed: Cell::new(false) };
+            self.targets.push(Rc::new(target));
+            self.figures.push(None);
+        }
+        let (Some(target), Some(counted)) = (self.targets.get(at), self.figures.get_mut(at)) else {
+            return;
+        };
+        if target.address.replace(change.address) != change.address {
+            pool.close_idle(change.server);
+        }
+        target.closed.set(change.status != Status::Live);
+        if change.status != Status::Gone {
+            if counted.is_none() {
+                *counted = figures.upstream(&change.id);
+            }
+        } else if counted.take().is_some() {
+            figures.forget(&change.id);
+        }
+    }
+}
--- a/src/bin/hollowpaddle/upstreams.rs
+++ b/src/bin/hollowpaddle/upstreams.rs
@@ -1,11 +1,11 @@
 //! Attempts at upstreams, and the connections kept for them.
 
+mod connection;
+mod streamed_response;
+
 use std::cell::{Cell, RefCell};
-use std::future::Future;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -17,21 +17,22 @@
 use hollowpaddle::tasks::AbortOnDrop;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::http1;
 use hyper::header::{HeaderMap, HeaderValue};
-use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use prometheus_client::metrics::counter::Counter;
 use rustc_hash::FxHashMap;
 use tokio::net::TcpSocket;
-use tokio::time::{Instant, Sleep, sleep, sleep_until, timeout, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
-use crate::bodies::{BUFFER, Broken, Due, KEPT, Memory, Outgoing, Payload, Served};
+use crate::bodies::{BUFFER, Due, KEPT, Memory, Outgoing, Payload, Served};
 use crate::config::Config;
 use crate::guard::AttemptGuard;
 use crate::succession::SOCKET_BUFFER;
+use connection::{Counted, Link, Open, Written};
 use hollowpaddle::socket::{Peer, Socket, Unread};
+pub use streamed_response::StreamedResponse;
 
 /// Idle connections are dropped at this share of the upstream's own limit: a request that crosses with its
 /// close would end as a reset, which no unsafe request survives.
@@ -51,10 +52,6 @@
 const WHOLE_WITHIN: Duration = Duration::from_millis(20);
 /// An upstream that neither takes nor gives a byte for so long, in the middle of a body, is given up.
 const STALL: Duration = Duration::from_secs(8);
-/// An answer that may be small has to end this long after its client's time at the latest (STANDING: half a second).
-const END_WITHIN: Duration = Duration::from_millis(300);
-/// Bytes a second from which on an answer of unknown size passes for a large one, however little of it came yet.
-const LARGE_RATE: f64 = 24_000.0;
 /// How often that is looked at.
 const STALL_STEP: Duration = Duration::from_secs(1);
 
@@ -107,138 +104,6 @@
     pub closed: Cell<bool>,
 }
 
-/// Bytes handed to the kernel on a connection. What was not handed over cannot have run.
-#[derive(Clone, Default)]
-struct Written {
-    bytes: Rc<Cell<u64>>,
-    /// At so many, the attempt that is out is whole.
-    whole_at: Rc<Cell<Option<u64>>>,
-    /// Attempts that were whole, on all connections.
-    tries: Counter,
-    /// Of the attempt that has not begun yet.
-    guard: Rc<RefCell<Option<Rc<AttemptGuard>>>>,
-    /// Whether the attempt that is out had its guard's permission.
-    permitted: Rc<Cell<bool>>,
-    violations: Violations,
-}
-
-impl Written {
-    /// Writes what the guard of an attempt permits; its first bytes ask the guard.
-    fn guarded(
-        &self,
-        write: impl FnOnce() -> Poll<std::io::Result<usize>>,
-    ) -> Poll<std::io::Result<usize>> {
-        let guard = self.guard.take();
-        if let Some(guard) = &guard {
-            guard.check().map_err(std::io::Error::other)?;
-        }
-        let Poll::Ready(written) = write() else {
-            self.guard.replace(guard);
-            return Poll::Pending;
-        };
-        let written = written?;
-        if let Some(guard) = guard {
-            self.permitted.set(true);
-            guard.begun();
-        }
-        if !self.permitted.get() {
-            AttemptGuard::unguarded(&self.violations);
-        }
-        self.add(written);
-        Poll::Ready(Ok(written))
-    }
-
-    fn add(&self, n: usize) {
-        self.bytes.set(self.bytes.get() + n as u64);
-        if self.whole_at.get().is_some_and(|at| self.bytes.get() >= at) {
-            self.whole_at.set(None);
-            self.tries.inc();
-        }
-    }
-}
-
-/// A stream that counts what is written.
-struct Counted {
-    inner: TokioIo<Socket>,
-    written: Written,
-}
-
-impl Read for Counted {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: ReadBufCursor<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.inner).poll_read(cx, buf)
-    }
-}
-
-impl Write for Counted {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<std::io::Result<usize>> {
-        let written = self.written.clone();
-        written.guarded(|| Pin::new(&mut self.inner).poll_write(cx, buf))
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[std::io::IoSlice<'_>],
-    ) -> Poll<std::io::Result<usize>> {
-        let written = self.written.clone();
-        written.guarded(|| Pin::new(&mut self.inner).poll_write_vectored(cx, bufs))
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.inner.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(cx)
-    }
-}
-
-/// A connection that no attempt is using, or that one attempt is.
-struct Link {
-    sender: SendRequest<Outgoing>,
-    written: Written,
-    peer: Peer,
-    address: SocketAddr,
-    idle_since: Instant,
-    _connection: AbortOnDrop,
-}
-
-impl Link {
-    /// Guards against a close that has arrived and that the connection's own task has not been woken for yet:
-    /// when it came in the same moment as a request, the request was written first, and was lost as a reset.
-    fn at_rest(&self) -> Unread {
-        self.peer.unread()
-    }
-}
-
-/// Counts a descriptor for as long as it is open.
-struct Open(Rc<Cell<usize>>);
-
-impl Open {
-    fn new(count: &Rc<Cell<usize>>) -> Self {
-        count.set(count.get() + 1);
-        Self(count.clone())
-    }
-}
-
-impl Drop for Open {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// The connections to all upstreams, and how to use them.
 pub struct Pool {
     idle: RefCell<FxHashMap<ServerId, Vec<Link>>>,
@@ -573,114 +438,6 @@
     }
 }
 
-/// The rest of an answer, on its way from an upstream. Dropped before its end, it closes the connection.
-pub struct StreamedResponse {
-    /// The id of the request that it answers.
-    request: Option<String>,
-    body: Incoming,
-    back: Option<(Rc<Pool>, ServerId, Link)>,
-    since: Option<Instant>,
-    began: Instant,
-    /// By when it has to be over, unless it is large.
-    end_by: Instant,
-    /// Its whole size, or what has come so far; and whether it is the size.
-    size: u64,
-    sized: bool,
-    timer: Pin<Box<Sleep>>,
-    over: bool,
-}
-
-impl StreamedResponse {
-    /// Of an answer of which so much is passed on already, and its whole size where that is known.
-    fn new(
-        forward: &Forward,
-        body: Incoming,
-        kept: usize,
-        length: Option<u64>,
-        back: (Rc<Pool>, ServerId, Link),
-    ) -> Self {
-        Self {
-            request: forward.id().map(str::to_owned),
-            body,
-            back: Some(back),
-            since: None,
-            began: Instant::now(),
-            end_by: forward.until.get() + END_WITHIN,
-            size: length.unwrap_or(kept as u64),
-            sized: length.is_some(),
-            timer: Box::pin(sleep(STALL)),
-            over: false,
-        }
-    }
-
-    /// How long its next piece is waited for, from now on. Of a large answer its first bytes are what is timed;
-    /// any other has to end, or be seen to be cut, soon after its client's time.
-    fn patience(&self, now: Instant) -> Instant {
-        let stalled = now + STALL;
-        if self.size > KEPT as u64 {
-            return stalled;
-        }
-        let pace = if self.sized { 0.0 } else { self.size as f64 / LARGE_RATE };
-        stalled.min(self.end_by.max(self.began + Duration::from_secs_f64(pace)))
-    }
-
-    /// What is left of it, where that is known.
-    pub fn left(&self) -> Option<u64> {
-        self.body.size_hint().exact()
-    }
-
-    /// Whether all of it was passed on.
-    pub fn is_over(&self) -> bool {
-        self.over
-    }
-
-    fn end(&mut self) {
-        self.over = true;
-        if let Some((pool, server, link)) = self.back.take() {
-            tokio::task::spawn_local(async move { pool.give_back(server, link).await });
-        }
-    }
-
-    /// The next piece; `None` at the end.
-    pub fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
-        loop {
-            match Pin::new(&mut self.body).poll_frame(cx) {
-                Poll::Ready(Some(Ok(frame))) => {
-                    self.since = None;
-                    // Trailers concern nobody here.
-                    let Ok(data) = frame.into_data() else { continue };
-                    if !self.sized {
-                        self.size += data.len() as u64;
-                    }
-                    if self.body.is_end_stream() {
-                        self.end();
-                    }
-                    return Poll::Ready(Some(Ok(data)));
-                }
-                Poll::Ready(Some(Err(cause))) => {
-                    tracing::info!(request = self.request, %cause, "an answer broke off on its way");
-                    return Poll::Ready(Some(Err(Broken::Cut)));
-                }
-                Poll::Ready(None) => {
-                    self.end();
-                    return Poll::Ready(None);
-                }
-                Poll::Pending => {
-                    if self.since.is_none() {
-                        let now = Instant::now();
-                        self.since = Some(now);
-                        let until = self.patience(now);
-                        self.timer.as_mut().reset(until);
-                    }
-                    ready!(self.timer.as_mut().poll(cx));
-                    tracing::info!(request = self.request, "an answer stalled on its way");
-                    return Poll::Ready(Some(Err(Broken::Slow)));
-                }
-            }
-        }
-    }
-}
-
 /// `X-Load: TEXT name=value, name=value`; what is not understood is left out.
 fn report(fields: &[(String, Field)], headers: &HeaderMap) -> Report {
     let mut report = Report::default();
