A look at the client's connection holds for five milliseconds

The guard asked the kernel four times for one attempt (before it, with its connection, at the first byte and after it): eight calls. A look that is younger than 5 ms counts, and after the write the client is looked at only where more than 0.1 s has passed since; that is far under the 0.1 s in which an attempt may begin.

--- a/src/bin/hollowpaddle/guard.rs
+++ b/src/bin/hollowpaddle/guard.rs
@@ -12,6 +12,9 @@
 
 use crate::upstreams::{Forward, Target};
 
+/// A look at the client's connection holds for so long: far less than an attempt may begin after a close.
+const LOOK_HOLDS: Duration = Duration::from_millis(5);
+
 /// What one attempt at an upstream depends on until its first byte is out.
 pub struct AttemptGuard {
     forward: Rc<Forward>,
@@ -24,7 +27,8 @@
     address: Cell<Option<SocketAddr>>,
     /// The deadline that the request tells the upstream.
     told: Cell<Option<Duration>>,
-    checked: Cell<Option<Instant>>,
+    /// When the client was last seen to be there.
+    seen: Cell<Option<Instant>>,
     denial: Cell<Option<Denial>>,
     violations: Violations,
 }
@@ -45,7 +49,7 @@
             before,
             address: Cell::new(None),
             told: Cell::new(None),
-            checked: Cell::new(None),
+            seen: Cell::new(None),
             denial: Cell::new(None),
             violations,
         })
@@ -78,9 +82,8 @@
     /// Why it may not begin now.
     pub fn check(&self) -> Result<(), Denial> {
         let now = Instant::now();
-        self.checked.set(Some(now));
         let permitted = permit::send(&SendFacts {
-            client_closed: self.forward.client.has_closed(),
+            client_closed: self.client_closed(now),
             answered: !self.live.get(),
             window_passed: now >= self.before,
             upstream_closed: self.target.closed.get(),
@@ -102,11 +105,12 @@
     /// The first bytes are written: counts the rules that this has broken.
     pub fn begun(&self) {
         let now = Instant::now();
-        let checked = self.checked.get();
+        let seen = self.seen.get();
+        let since_check = seen.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         let facts = SentFacts {
-            guarded: checked.is_some(),
-            since_check: checked.map_or(Duration::ZERO, |at| now.saturating_duration_since(at)),
-            client_closed: self.forward.client.has_closed(),
+            guarded: seen.is_some(),
+            since_check,
+            client_closed: since_check > permit::AFTER_CLOSE && self.forward.client.has_closed(),
             upstream_closed: self.target.closed.get(),
             past_window: now.saturating_duration_since(self.before),
             deadline_excess: self.deadline_excess(now),
@@ -121,6 +125,18 @@
         violations.count(Rule::UnguardedAttempt, None);
     }
 
+    fn client_closed(&self, now: Instant) -> bool {
+        let holds = |seen: Instant| now.saturating_duration_since(seen) < LOOK_HOLDS;
+        if self.seen.get().is_some_and(holds) {
+            return false;
+        }
+        let closed = self.forward.client.has_closed();
+        if !closed {
+            self.seen.set(Some(now));
+        }
+        closed
+    }
+
     /// By how much the deadline in the request exceeds what the client has left. While its body is still coming, its
     /// time has not begun.
     fn deadline_excess(&self, now: Instant) -> Duration {
