--- a/tests/crossings/left_clients.rs
+++ b/tests/crossings/left_clients.rs
@@ -108,3 +108,28 @@
     }
     assert!(sent.is_empty(), "attempts over 0.1 s after the close:\n{}", sent.join("\n"));
 }
+
+#[test]
+fn a_body_that_still_comes_is_not_sent_on_for_a_client_that_closed_while_the_process_stood_still() {
+    for how in ["close", "half-close", "reset"] {
+        let (address, heads, go) = tells_heads();
+        let node = Node::start(&config(vec![member("s-0", address, "SERVING")]));
+        let mut first = node.client();
+        first.send(&read("w1", 6000));
+        assert_eq!(heads.recv_timeout(SOON).expect("a head"), "w1");
+        // Larger than what is kept: it waits, half read, for an upstream to take it.
+        let text = alarm("r2", 6000, &"x".repeat(400_000));
+        let mut leaves = TcpStream::connect(node.address).expect("it accepts");
+        leaves.write_all(&text.as_bytes()[..150_000]).expect("written");
+        pause(50);
+        node.signal("STOP");
+        go.send(()).expect("it waits");
+        pause(20);
+        let _half = leave(leaves, how);
+        pause(HELD);
+        node.signal("CONT");
+        assert_eq!(first.answer().expect("an answer").status(), 200);
+        assert_eq!(node.client().ask(&read("r3", 5000)).status(), 200);
+        assert_eq!(heads.recv_timeout(SOON).expect("a head"), "r3", "{how}");
+    }
+}
