A request cut off before its end is named in the log also where its client's close is seen first

The 400 was the same. Change: a request is permitted to start once its body is read as far as it is kept; a cut one ends there, as before. A full table has idle connections looked at also where that is first seen after SIGTERM (backlog_waits).

--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -200,10 +200,12 @@
         }
     }
 
-    /// Connections may wait to be accepted from now on.
+    /// Connections may wait to be accepted from now on; those that idle are looked at.
     fn backlog_waits(&self) {
-        let since = self.backlog_since.get().unwrap_or_else(Instant::now);
-        self.backlog_since.set(Some(since));
+        if self.backlog_since.get().is_none() {
+            self.backlog_since.set(Some(Instant::now()));
+            self.crowd.notify_waiters();
+        }
     }
 
     /// The next connection; once there is none, nobody waits any more.
@@ -292,10 +294,6 @@
             violations: self.figures.violations.clone(),
             answered: false,
         };
-        if let Err(denial) = permit::start(socket.peer_closed()) {
-            tracing::debug!(request = unanswered.id(), %denial, "a request is not taken");
-            return Ok(bare(StatusCode::BAD_REQUEST));
-        }
         let path = request.uri().path();
         let mut answer = if path == "/-/ready" {
             let ready = self.engine.ready() && self.lifecycle.address_served();
@@ -337,6 +335,11 @@
             Ok(kept) => kept,
             Err(why) => return broken(why, &id),
         };
+        if let Err(denial) = permit::start(client.has_closed()) {
+            let request = id.as_ref().and_then(|id| id.to_str().ok());
+            tracing::debug!(request, %denial, "a request is not taken");
+            return bare(StatusCode::BAD_REQUEST);
+        }
         // The request's time runs from its last byte; while more is to come, that is still ahead.
         let arrival =
             match arrival(place, service, &head, &kept, guard.arrived(self.engine.arrived())) {
