--- a/review/src/cluster.rs
+++ b/review/src/cluster.rs
@@ -95,6 +95,7 @@
     let at = free_addresses(2);
     let config = rig.write("proxy.json", &proxy_json("n1", at[0], at[1], discovery));
     rig.start("n1", "", &[("LB_CONFIG", &config)]);
+    rig.management = Some(at[1]);
     let health = || operate(at[1], "GET", "/admin/health", "").0 == 200;
     if wait_until(Duration::from_secs(10), health) {
         Ok(at[0])
--- a/review/src/rig.rs
+++ b/review/src/rig.rs
@@ -43,6 +43,8 @@
     pub trouble: bool,
     /// The temporary folder of this run.
     pub work: PathBuf,
+    /// The management address of the proxy, once it is started.
+    pub management: Option<SocketAddr>,
     run: String,
     children: Vec<(String, Child)>,
 }
@@ -59,7 +61,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |t| t != "0");
     record.line(format!("TROUBLE={}", u8::from(trouble)));
     let run = deploy_command("run").expect("run in deploy/balancer.toml");
-    let mut rig = Rig { record, trouble, work, run, children: Vec::new() };
+    let mut rig = Rig { record, trouble, work, management: None, run, children: Vec::new() };
     let verdict = case(&mut rig);
     rig.stop_all();
     let (text, code) = match verdict {
