--- a/review/src/upload_memory.rs
+++ b/review/src/upload_memory.rs
@@ -12,14 +12,14 @@
 use std::time::{Duration, Instant};
 
 const MEMORY_MB: u64 = 32;
-const SOCKETS: usize = 1024;
+const SOCKETS: usize = 640;
 /// Clients may hold no more than a third of the descriptors for requests (TERMS).
 const CLIENTS: usize = SOCKETS / 3;
 const LARGE: usize = 32 << 20;
 const SMALL: usize = 212;
 /// The pace that DAYS names for a slow client.
 const BYTES_PER_SECOND: usize = 64_000;
-const PIECE: usize = 16 << 10;
+const PIECE: usize = 64_000;
 const LENGTH: Duration = Duration::from_secs(8);
 
 fn main() {
