Review, case 1: orders run twice after a second answer

Cause: a connection that is one answer behind gives a refusal of one request to the next, which runs, and is sent again. Change: the case of the second answer has two requests turned away and checks runs as well as answers.

--- a/review/src/foreign_answer.rs
+++ b/review/src/second_answer.rs
@@ -1,9 +1,12 @@
-//! An upstream sends the answer to one request twice, some milliseconds apart. Nobody else may get the second.
+//! An upstream sends the answer to one request twice, some milliseconds apart. Nobody else may get the second, and no order
+//! may run twice for it.
 
 mod rig;
 
 use rig::{free_addresses, json_number, member_toml, operate, proxy_json, request, wait_until};
 use rig::{Connection, Rig, Upstream, Verdict};
+use std::cell::Cell;
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -15,9 +18,17 @@
 const LATE: Duration = Duration::from_millis(5);
 /// Which request of each upstream is answered twice.
 const TWICE: u64 = 60;
+/// Time that an upstream takes to turn a request away.
+const TURN_AWAY: Duration = Duration::from_millis(5);
+/// How many requests later on that connection the upstream has no room for one.
+const FULL_AFTER: u64 = 3;
 const CLIENTS: usize = 8;
 const LENGTH: Duration = Duration::from_secs(6);
 
+thread_local! {
+    static SINCE: Cell<Option<u64>> = const { Cell::new(None) };
+}
+
 fn main() {
     rig::main(case);
 }
@@ -25,16 +36,33 @@
 fn case(rig: &mut Rig) -> Verdict {
     let record = rig.record.clone();
     let trouble = rig.trouble;
+    let ran: Arc<Mutex<Vec<(String, String)>>> = Arc::default();
     let upstreams: Vec<Upstream> = (1..=3)
         .map(|i| {
-            let (log, name) = (record.clone(), format!("s-{i}"));
+            // s-1 and s-2 have no room for one request later on, with and without the second answers.
+            let full = i < 3;
+            let (log, name, ran) = (record.clone(), format!("s-{i}"), ran.clone());
             Upstream::start(&format!("s-{i}"), &record, move |seen, stream| {
+                // Of this connection: how many requests ago an answer was given twice.
+                let since = SINCE.with(|s| s.replace(s.get().map(|n| n + 1)));
+                if full && since == Some(FULL_AFTER) {
+                    thread::sleep(TURN_AWAY);
+                    log.line(format!("{name} is full: turned away {}", seen.id));
+                    let full = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+                    let _ = stream.write_all(full.as_bytes());
+                    return;
+                }
+                ran.lock().unwrap().push((name.clone(), seen.id.clone()));
+                log.line(format!("{name} runs {}", seen.id));
                 thread::sleep(WORK);
                 let _ = stream.write_all(&rig::ok(&seen.id));
-                if trouble && seen.number == TWICE {
-                    thread::sleep(LATE);
-                    let _ = stream.write_all(&rig::ok(&seen.id));
-                    log.line(format!("{name} sent the answer to {} a second time", seen.id));
+                if seen.number == TWICE {
+                    SINCE.with(|s| s.set(Some(0)));
+                    if trouble {
+                        thread::sleep(LATE);
+                        let _ = stream.write_all(&rig::ok(&seen.id));
+                        log.line(format!("{name} sent the answer to {} a second time", seen.id));
+                    }
                 }
             })
         })
@@ -104,9 +132,16 @@
     if served < 500 || upstreams.iter().any(|u| u.seen.lock().unwrap().len() < TWICE as usize) {
         return Err(format!("too little traffic: {served} served"));
     }
-    let foreign = foreign.lock().unwrap().clone();
-    Ok((!foreign.is_empty()).then(|| {
-        let (n, first) = (foreign.len(), &foreign[..foreign.len().min(4)]);
-        format!("{n} of {served} answers were another request's; the first: {first:?}")
+    let mut runs: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    for (upstream, id) in ran.lock().unwrap().iter() {
+        runs.entry(id.clone()).or_default().push(upstream.clone());
+    }
+    let twice: Vec<_> = runs.into_iter().filter(|(_, at)| at.len() > 1).collect();
+    record.line(format!("orders that ran more than once: {twice:?}"));
+    let foreign = foreign.lock().unwrap();
+    record.line(format!("answers of another request: {}: {foreign:?}", foreign.len()));
+    Ok((!twice.is_empty() || !foreign.is_empty()).then(|| {
+        let (n, first) = (foreign.len(), &foreign[..foreign.len().min(3)]);
+        format!("orders that ran twice: {twice:?}; {n} of {served} answers were another request's, such as {first:?}")
     }))
 }
