--- a/review/src/slow_answer.rs
+++ b/review/src/slow_answer.rs
@@ -9,13 +9,13 @@
 use std::time::{Duration, Instant};
 
 /// The whole answer: far more than 64 KiB.
-const SIZE: usize = 256_000;
+const SIZE: usize = FIRST + 4 * PIECE;
 /// When its first bytes come, and how many.
-const FIRST_AFTER: Duration = Duration::from_millis(350);
+const FIRST_AFTER: Duration = Duration::from_millis(250);
 const FIRST: usize = 1_000;
 /// A piece of the rest, and the time for it at 64 kB a second.
-const PIECE: usize = 64_000;
-const PIECE_TIME: Duration = Duration::from_millis(1000);
+const PIECE: usize = 72_000;
+const PIECE_TIME: Duration = Duration::from_millis(1125);
 const DEADLINE_MS: u64 = 1000;
 
 fn main() {
