--- a/review/src/cluster.rs
+++ b/review/src/cluster.rs
@@ -55,7 +55,8 @@
     /// Waits until all of these instances (from 1) can be read.
     pub fn ready(&self, instances: &[usize]) -> bool {
         wait_until(Duration::from_secs(15), || {
-            let up = |n: &usize| operate(self.management[n - 1], "GET", "/admin/health", "").0 == 200;
+            let up =
+                |n: &usize| operate(self.management[n - 1], "GET", "/admin/health", "").0 == 200;
             instances.iter().all(up)
         })
     }
@@ -126,10 +127,9 @@
                     thread::sleep(Duration::from_millis(50));
                     n += 1;
                     let id = format!("c{c}-{n}");
-                    let open = kept.take().map_or_else(
-                        || Connection::open(front, Duration::from_secs(3)),
-                        Ok,
-                    );
+                    let open = kept
+                        .take()
+                        .map_or_else(|| Connection::open(front, Duration::from_secs(3)), Ok);
                     let Ok(mut open) = open else { continue };
                     if open.stream.write_all(&request(&id, "stock-check", 1000)).is_err() {
                         continue;
--- a/review/src/pipelined_deadlines.rs
+++ b/review/src/pipelined_deadlines.rs
@@ -54,7 +54,9 @@
             ids.iter().flat_map(|id| request(id, "stock-check", DEADLINE_MS)).collect();
         let sent = Instant::now();
         client.stream.write_all(&all).map_err(|e| e.to_string())?;
-        record.line(format!("sent {REQUESTS} requests at once on one connection, {DEADLINE_MS} ms each"));
+        record.line(format!(
+            "sent {REQUESTS} requests at once on one connection, {DEADLINE_MS} ms each"
+        ));
         let mut answers = Vec::new();
         for id in &ids {
             let answer = client.message().ok().flatten();
--- a/review/src/rebuilt_list.rs
+++ b/review/src/rebuilt_list.rs
@@ -56,7 +56,10 @@
     let told = Instant::now();
     thread::sleep(TOLD + GRACE);
     let (late, served) = (Instant::now(), clients.served.load(Ordering::Relaxed));
-    record.line(format!("{} ms after the drain: from here on s-1 may get nothing", told.elapsed().as_millis()));
+    record.line(format!(
+        "{} ms after the drain: from here on s-1 may get nothing",
+        told.elapsed().as_millis()
+    ));
     thread::sleep(WATCH);
     let (at_drained, at_others) = (upstreams[0].count_since(late), upstreams[1].count_since(late));
     let served = clients.served.load(Ordering::Relaxed) - served;
@@ -65,7 +68,6 @@
     if served < 50 {
         return Err(format!("too little traffic: {served} served"));
     }
-    Ok((at_drained > 0).then(|| {
-        format!("s-1 got {at_drained} requests 7 to 15 s after it began to drain")
-    }))
+    Ok((at_drained > 0)
+        .then(|| format!("s-1 got {at_drained} requests 7 to 15 s after it began to drain")))
 }
--- a/review/src/rig.rs
+++ b/review/src/rig.rs
@@ -384,10 +384,7 @@
                             deadline_ms: request.header("x-deadline-ms").parse().unwrap_or(0),
                             number: count.fetch_add(1, Ordering::SeqCst) + 1,
                         };
-                        record.line(format!(
-                            "{name} got {} with {} ms",
-                            seen.id, seen.deadline_ms
-                        ));
+                        record.line(format!("{name} got {} with {} ms", seen.id, seen.deadline_ms));
                         all.lock().unwrap().push(seen.clone());
                         answer(&seen, &mut connection.stream);
                     }
--- a/review/src/second_answer.rs
+++ b/review/src/second_answer.rs
@@ -105,7 +105,10 @@
                     }
                     let Ok(Some(answer)) = open.message() else { continue };
                     let text = answer.text();
-                    record.line(format!("client {c}: {id} was answered {} {text:?}", answer.status()));
+                    record.line(format!(
+                        "client {c}: {id} was answered {} {text:?}",
+                        answer.status()
+                    ));
                     if answer.status() == 200 {
                         *served.lock().unwrap() += 1;
                         if text != format!("answer to {id}") {
--- a/review/src/two_holders.rs
+++ b/review/src/two_holders.rs
@@ -35,7 +35,8 @@
         return Err("the list service did not start".into());
     }
     // The duty's TTL is the default, 3 s.
-    let sweep = |name: &str, own| format!("sweep --services {} --holder {name} --listen {own}", at[1]);
+    let sweep =
+        |name: &str, own| format!("sweep --services {} --holder {name} --listen {own}", at[1]);
     let token = |own| json_number(&operate(own, "GET", "/admin/health", "").1, "token");
     rig.start("sweep-a", &sweep("sweep-a", at[2]), &[]);
     if !wait_until(Duration::from_secs(5), || token(at[2]).is_some()) {
--- a/review/src/upload_memory.rs
+++ b/review/src/upload_memory.rs
@@ -145,7 +145,12 @@
             read.extend_from_slice(&piece[..n]);
         };
         let head = String::from_utf8_lossy(&read[..end]).to_ascii_lowercase();
-        let id = head.lines().find_map(|l| l.strip_prefix("x-request-id:")).unwrap_or("").trim().to_owned();
+        let id = head
+            .lines()
+            .find_map(|l| l.strip_prefix("x-request-id:"))
+            .unwrap_or("")
+            .trim()
+            .to_owned();
         let length = head.lines().find_map(|l| l.strip_prefix("content-length:"));
         let mut left: usize = length.and_then(|l| l.trim().parse().ok()).unwrap_or(0);
         left = left.saturating_sub(read.len() - end);
