--- a/review/src/rig.rs
+++ b/review/src/rig.rs
@@ -49,14 +49,14 @@
     children: Vec<(String, Child)>,
 }
 
-/// Runs a case: `PROGRAM FOLDER WORK`. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+/// Runs a case: `PROGRAM RECORD WORK`. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 pub fn main(case: impl FnOnce(&mut Rig) -> Verdict) -> ! {
     let mut args = std::env::args().skip(1).map(PathBuf::from);
-    let (Some(folder), Some(work)) = (args.next(), args.next()) else {
-        eprintln!("usage: PROGRAM FOLDER WORK");
+    let (Some(record), Some(work)) = (args.next(), args.next()) else {
+        eprintln!("usage: PROGRAM RECORD WORK");
         std::process::exit(2);
     };
-    let file = fs::File::create(folder.join("record.txt")).expect("record.txt");
+    let file = fs::File::create(record).expect("the file of the record");
     let record = Recorder { start: Instant::now(), lines: Arc::new(Mutex::new(file)) };
     let trouble = std::env::var("TROUBLE").map_or(true, |t| t != "0");
     record.line(format!("TROUBLE={}", u8::from(trouble)));
--- a/review/src/upload_memory.rs
+++ b/review/src/upload_memory.rs
@@ -60,9 +60,12 @@
     let stop = Arc::new(AtomicBool::new(false));
     for c in 0..CLIENTS {
         let (counts, stop, front) = (counts.clone(), stop.clone(), at[2]);
+        let record = record.clone();
         thread::spawn(move || {
             counts[0].fetch_add(1, Ordering::Relaxed);
-            match upload(front, c, size, &stop) {
+            let answer = upload(front, c, size, &stop);
+            record.line(format!("u-{c}, a body of {size} bytes: answered {answer:?}"));
+            match answer {
                 Some(status) => {
                     counts[1].fetch_add(1, Ordering::Relaxed);
                     counts[2].fetch_add(u64::from(status == 200), Ordering::Relaxed);
