An upload that began in the backlog has its whole time once its last byte has come

Callers saw: 503 right after the last byte of an upload whose beginning had waited for a place longer than its deadline. Cause: the time left after the body (time_after_body) was counted from when the connection may have come into the backlog, though the deadline of a request runs from its last byte, which had not been sent. Change: time in the backlog counts only for a request that is complete when it is read. Test: upload_that_began_in_the_backlog_has_its_whole_time, 503 before, 200 now.

--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -376,8 +376,9 @@
             tracing::debug!(request, %denial, "request rejected: client has already closed");
             return empty_response(StatusCode::BAD_REQUEST);
         }
-        // The deadline runs from the request's last byte, which is still to come if the body is incomplete.
-        let arrived = guard.arrived(self.engine.earliest_arrival());
+        // The deadline runs from the request's last byte. If that is still to come, time in the backlog does not count.
+        let read = self.engine.earliest_arrival();
+        let arrived = if body.is_complete() { guard.arrived(read) } else { read };
         let arrival = match arrival(service_id, service, &head, &kept, arrived) {
             Ok(arrival) => arrival,
             Err(what) => {
--- a/tests/crossings/mod.rs
+++ b/tests/crossings/mod.rs
@@ -668,6 +668,31 @@
     idle.iter_mut().for_each(|c| assert!(c.answer().is_none()));
 }
 
+/// Guards against an upload being failed at its end because its beginning had waited in the backlog: its deadline counts
+/// from its last byte.
+#[test]
+fn upload_that_began_in_the_backlog_has_its_whole_time() {
+    let upstream = Upstream::start(|m| match m.header("x-request-id") {
+        "hangs" => Does::Hangs,
+        _ => ok("ok"),
+    });
+    let many = (0..40).map(|i| member(&format!("s-{i}"), upstream.address, "SERVING")).collect();
+    let node = start_with_few_descriptors(many);
+    let mut occupying: Vec<Client> = (0..CLIENTS).map(|_| node.client()).collect();
+    occupying.iter_mut().for_each(|c| c.send(&alarm("hangs", 1500, "x")));
+    pause(200);
+    let mut client = node.client();
+    let request = alarm("r1", 800, &"x".repeat(100_000));
+    let (begin, rest) = request.split_at(10_000);
+    client.send(begin);
+    for client in &mut occupying {
+        assert_eq!(client.answer().map(|answer| answer.status()), Some(504));
+    }
+    pause(200);
+    client.send(rest);
+    assert_eq!(client.answer().map(|answer| answer.status()), Some(200));
+}
+
 #[test]
 fn idle_or_flooding_clients_take_no_descriptor_from_discovery_or_upstreams() {
     let upstream = Upstream::start(|_| ok("ok"));
