Bodies, heads of requests, own responses and parts of an attempt in modules of their own

Change: bodies/ (request, response), clients/ (request_head, responses), upstreams/ (forward, first_part, send_progress); serve_one in shorter steps; names (active_request). No behaviour changed.

--- a/src/bin/hollowpaddle/bodies.rs
+++ b/src/bin/hollowpaddle/bodies/request.rs
@@ -1,7 +1,7 @@
-//! Request and response bodies: small ones are buffered completely, larger ones are streamed at the receiver's pace.
+//! Request bodies: received from a client at a minimum rate, and sent to upstreams.
 
 use std::cell::{Cell, RefCell};
-use std::future::{Future, poll_fn};
+use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -12,16 +12,9 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, Sleep, sleep, timeout};
 
+use super::{BodyError, MAX_REQUEST_BODY_BYTES, append};
 use crate::memory::{PieceSlot, Reservation};
-use crate::upstreams::StreamedResponse;
-use hollowpaddle::figures::{ActiveRequest, End};
 
-/// A request or response body up to this size is buffered completely; of a larger one, only its first part.
-pub const MAX_BUFFERED_BYTES: usize = 64 << 10;
-/// Maximum size of a request body; a larger one is answered 413.
-pub const MAX_REQUEST_BODY_BYTES: u64 = 32 << 20;
-/// Maximum size of a response head.
-pub const MAX_RESPONSE_HEAD_BYTES: usize = 32 << 10;
 /// Minimum rate at which a client must send a body. Clients at 64 kB/s must be served; the lower limit allows for
 /// uneven arrival.
 const MIN_BYTES_PER_SECOND: f64 = 48_000.0;
@@ -30,28 +23,6 @@
 /// How long the rest of a body is read after its request was answered, if it keeps the minimum rate.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Why a body could not be read to its end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum BodyError {
-    #[error("body arrives too slowly")]
-    Slow,
-    #[error("body is too large")]
-    TooLarge,
-    #[error("body is truncated or malformed")]
-    Cut,
-}
-
-/// Appends a piece to a buffer for `most` bytes and one piece more. The buffer grows in steps, and never to twice what it
-/// may hold.
-pub fn append(buffer: &mut Vec<u8>, piece: &Bytes, most: usize) {
-    let needed = buffer.len() + piece.len();
-    if needed > buffer.capacity() {
-        let doubled = (2 * buffer.capacity()).min(most);
-        buffer.reserve_exact(needed.max(doubled) - buffer.len());
-    }
-    buffer.extend_from_slice(piece);
-}
-
 /// Enforces the minimum rate of a request body. Only time spent waiting for the client counts: a body that is not
 /// read because no upstream takes it is not late.
 struct Pace {
@@ -310,88 +281,3 @@
         self.rest.as_ref().is_some_and(|r| r.is_consumed())
     }
 }
-
-/// The body of an upstream's response: complete, or its buffered beginning and the stream of the rest.
-pub struct UpstreamResponse {
-    pub kept: Bytes,
-    pub rest: Option<StreamedResponse>,
-}
-
-/// The body of a response to a client. Holds the request's metrics guard and the connection's in-flight guard.
-#[derive(Default)]
-pub struct ResponseBody {
-    kept: Bytes,
-    rest: Option<StreamedResponse>,
-    taken: Option<ActiveRequest>,
-    _guard: Option<CompletionGuard>,
-}
-
-/// Dropped when a response body was sent or abandoned.
-pub type CompletionGuard = Rc<dyn std::any::Any>;
-
-impl ResponseBody {
-    pub fn complete(kept: Bytes) -> Self {
-        Self { kept, ..Self::default() }
-    }
-
-    pub fn from_upstream(served: UpstreamResponse) -> Self {
-        Self { kept: served.kept, rest: served.rest, ..Self::default() }
-    }
-
-    /// Counts the request in the metrics: as `end`, or, if the body is streamed, by whether the stream completes.
-    pub fn counted_as(mut self, taken: ActiveRequest, end: End) -> Self {
-        if self.rest.is_none() {
-            taken.set_end(end);
-        }
-        self.taken = Some(taken);
-        self
-    }
-
-    /// Holds `done` until the body is dropped.
-    pub fn with_guard(mut self, done: CompletionGuard) -> Self {
-        self._guard = Some(done);
-        self
-    }
-
-    fn ends(&self, end: End) {
-        if let Some(taken) = &self.taken {
-            taken.set_end(end);
-        }
-    }
-}
-
-impl Body for ResponseBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if !self.kept.is_empty() {
-            let kept = std::mem::take(&mut self.kept);
-            return Poll::Ready(Some(Ok(Frame::data(kept))));
-        }
-        let Some(rest) = &mut self.rest else { return Poll::Ready(None) };
-        let piece = ready!(rest.poll(cx));
-        if rest.is_over() {
-            self.rest = None;
-            self.ends(End::Served);
-        }
-        if let Some(Err(_)) = piece {
-            self.rest = None;
-            self.ends(End::Failed);
-        }
-        Poll::Ready(piece.map(|p| p.map(Frame::data)))
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.kept.is_empty() && self.rest.is_none()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        let kept = self.kept.len() as u64;
-        let rest = self.rest.as_ref().map_or(Some(0), StreamedResponse::left);
-        rest.map_or(SizeHint::default(), |rest| SizeHint::with_exact(kept + rest))
-    }
-}
--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -1,5 +1,8 @@
 //! The client-facing HTTP server: reads requests, passes them to the engine, and sends one response to each.
 
+mod request_head;
+mod responses;
+
 use std::cell::{Cell, OnceCell};
 use std::convert::Infallible;
 use std::future::Future;
@@ -10,41 +13,38 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollowpaddle::interface::{Effect, Span};
 use hollowpaddle::invariants::permit::{self, CloseFacts};
 use hollowpaddle::invariants::violations::{Rule, Violations};
 use hollowpaddle::services::{Service, ServiceId};
-use hollowpaddle::settings::key_hash;
 use hyper::body::{Body, Incoming};
-use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, COOKIE, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue,
-    RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
-};
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::unconstrained;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::bodies::{
-    BodyError, MAX_BUFFERED_BYTES, MAX_REQUEST_BODY_BYTES, Payload, RequestBody, ResponseBody,
-};
+use crate::bodies::{BodyError, MAX_BUFFERED_BYTES, MAX_REQUEST_BODY_BYTES, Payload, RequestBody};
 use crate::client_connection::{
     ClientConnection, ObservedStream, RequestGuard, Room, lingering_close,
 };
-use crate::engine::{Arrival, Handle, Reply};
+use crate::engine::Handle;
 use crate::lifecycle::{LINGER, Lifecycle};
 use crate::memory::{BufferMemory, HeadGate, HeadMemory, MemoryBudget};
 use crate::succession::ProcessRegistration;
 use crate::upstreams::{Forward, header_bytes};
-use hollowpaddle::figures::{End, Figures};
+use hollowpaddle::figures::Figures;
 use hollowpaddle::socket::{Peer, Socket, Unread, after_failed_accept};
+use request_head::{arrival, host, origin_form, upstream_headers};
+use responses::{
+    ClientResponse, body_error_response, empty_response, malformed_response, no_route_response,
+    reply_response,
+};
 
-/// Maximum size of a request head; a longer one is answered 431. hyper's default of about 400 KiB, times the
-/// maximum number of connections, exceeds the memory of a balancer.
+/// Maximum size of a request head; a longer one is answered 431.
 const MAX_HEAD_BYTES: usize = 32 << 10;
 /// How long open connections may take to finish after the listener is closed. Requests are bounded by their
 /// deadlines and bodies by their minimum rate; the platform kills the process if it takes longer than allowed.
@@ -57,11 +57,6 @@
 const KILL_MARGIN: Duration = Duration::from_millis(200);
 /// Interval of checks for a free place while the connection table is full, and of retries of a failed accept.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(1);
-/// Largest accepted `X-Deadline-Ms`; a longer deadline is treated as malformed.
-const MAX_DEADLINE_MS: u64 = 3_600_000;
-
-type ClientResponse = Response<ResponseBody>;
-
 /// Why a client connection ended.
 #[derive(Debug)]
 enum ConnectionEnd {
@@ -347,6 +342,19 @@
         Ok(answer.map(|body| body.with_guard(guard)))
     }
 
+    /// Buffers a request body, or the beginning of a large one, if memory for it is free; else its first piece alone.
+    async fn buffer_body(
+        &self,
+        body: &RequestBody,
+        length: Option<u64>,
+    ) -> Result<Bytes, BodyError> {
+        let most = MAX_BUFFERED_BYTES + self.budget.piece_bytes;
+        let room = length.map_or(most, |n| usize::try_from(n).unwrap_or(most).min(most));
+        let reserved = self.memory.reserve(room);
+        let most = if reserved.is_some() { MAX_BUFFERED_BYTES } else { 0 };
+        body.buffer(most, reserved).await
+    }
+
     /// Serves one request of a service.
     async fn serve_one(
         &self,
@@ -362,12 +370,7 @@
             return body_error_response(BodyError::TooLarge, &id);
         }
         let body = RequestBody::new(body, guard.body_start_timeout());
-        let most = MAX_BUFFERED_BYTES + self.budget.piece_bytes;
-        let room = length.map_or(most, |n| usize::try_from(n).unwrap_or(most).min(most));
-        let reserved = self.memory.reserve(room);
-        // Without a reservation only the first piece is kept.
-        let most = if reserved.is_some() { MAX_BUFFERED_BYTES } else { 0 };
-        let kept = match body.buffer(most, reserved).await {
+        let kept = match self.buffer_body(&body, length).await {
             Ok(kept) => kept,
             Err(why) => return body_error_response(why, &id),
         };
@@ -388,12 +391,12 @@
         };
         let rest = (!body.is_complete()).then(|| body.clone());
         let class = arrival.class;
-        let taken = OnceCell::new();
-        let take = || {
-            taken.get_or_init(|| self.figures.start_request(&service.name, class));
+        let active_request = OnceCell::new();
+        let count_active = || {
+            active_request.get_or_init(|| self.figures.start_request(&service.name, class));
         };
         if rest.is_none() {
-            take();
+            count_active();
         }
         let length = if rest.is_some() { length } else { Some(kept.len() as u64) };
         let forward = Forward {
@@ -404,89 +407,16 @@
             until: Cell::new(arrival.until),
             client,
         };
-        let reply = match self.engine.submit(arrival, forward, &take).await {
+        let reply = match self.engine.submit(arrival, forward, &count_active).await {
             Ok(reply) => reply,
             Err(why) => return body_error_response(why, &id),
         };
         drain(body, guard);
-        let (end, answer) = match reply {
-            Reply::Served(response) => {
-                let (mut head, served) = response.into_parts();
-                remove_hop_by_hop_headers(&mut head.headers);
-                for internal in ["x-load", "x-not-run"] {
-                    head.headers.remove(internal);
-                }
-                head.headers.remove(CONTENT_LENGTH);
-                let mut answer = Response::new(ResponseBody::from_upstream(served));
-                *answer.headers_mut() = head.headers;
-                (End::Served, answer)
-            }
-            Reply::Refused { retry_after } => {
-                let mut answer = empty_response(StatusCode::SERVICE_UNAVAILABLE);
-                if let Some(value) = retry_after_value(retry_after) {
-                    answer.headers_mut().insert(RETRY_AFTER, value);
-                }
-                (End::Refused, answer)
-            }
-            Reply::Failed { late: true } => {
-                (End::Failed, empty_response(StatusCode::GATEWAY_TIMEOUT))
-            }
-            Reply::Failed { late: false } => (End::Failed, empty_response(StatusCode::BAD_GATEWAY)),
-        };
-        take();
-        let Some(taken) = taken.into_inner() else { return answer };
-        answer.map(|body| body.counted_as(taken, end))
-    }
-}
-
-/// Extracts what the policy needs to know of a request; the error names the invalid header or `method`.
-fn arrival(
-    service_id: ServiceId,
-    service: &Service,
-    head: &hyper::http::request::Parts,
-    body: &Bytes,
-    arrived: Instant,
-) -> Result<Arrival, &'static str> {
-    let text = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
-    text("x-request-id").filter(|id| !id.is_empty()).ok_or("X-Request-Id")?;
-    let class = text("x-class").and_then(|name| service.class(name)).ok_or("X-Class")?;
-    let key = head.headers.get("idempotency-key");
-    let fits = match service.effects[class] {
-        Effect::Safe => head.method == Method::GET && body.is_empty(),
-        Effect::Keyed => head.method == Method::POST && key.is_some_and(|k| !k.is_empty()),
-        Effect::Unsafe => head.method == Method::POST && key.is_none(),
-    };
-    if !fits {
-        return Err("method");
+        let (end, answer) = reply_response(reply);
+        count_active();
+        let Some(active_request) = active_request.into_inner() else { return answer };
+        answer.map(|body| body.counted_as(active_request, end))
     }
-    let deadline = text("x-deadline-ms").and_then(|v| v.trim().parse::<u64>().ok());
-    let deadline = deadline.filter(|ms| (1..=MAX_DEADLINE_MS).contains(ms));
-    let deadline = Duration::from_millis(deadline.ok_or("X-Deadline-Ms")?);
-    let tenant = service.tenant(text("x-tenant").unwrap_or_default()).ok_or("X-Tenant")?;
-    let hint = text("x-cost-hint").and_then(|v| v.trim().parse::<f64>().ok());
-    Ok(Arrival {
-        service: service_id,
-        class,
-        tenant,
-        key: cookie(&head.headers, "sid").map(key_hash),
-        until: arrived + deadline,
-        cost_guess: hint.filter(|us| us.is_finite() && *us > 0.0).map(|us| Span(us as i64)),
-        resent: text("x-retry").is_some_and(|v| v == "1"),
-    })
-}
-
-/// The requested host: from the request target, else from `Host` (RFC 9112, 3.2.2); empty if neither names one.
-fn host(request: &Request<Incoming>) -> &str {
-    let target = request.uri().authority().map(|a| a.as_str());
-    let named = || request.headers().get(HOST).and_then(|host| host.to_str().ok());
-    target.or_else(named).unwrap_or_default()
-}
-
-fn no_route_response(host: &str, path: &str) -> ClientResponse {
-    let text = format!("no route: host {host:?}, path {path:?}\n");
-    let mut answer = Response::new(ResponseBody::complete(text.into()));
-    *answer.status_mut() = StatusCode::NOT_FOUND;
-    answer
 }
 
 /// A request that was read and is unanswered. If its connection ends first, the request is logged by its
@@ -534,79 +464,3 @@
         });
     }
 }
-
-fn empty_response(status: StatusCode) -> ClientResponse {
-    let mut answer = Response::new(ResponseBody::default());
-    *answer.status_mut() = status;
-    answer
-}
-
-/// The response to a request whose body could not be read to its end.
-fn body_error_response(why: BodyError, id: &Option<HeaderValue>) -> ClientResponse {
-    let request = id.as_ref().and_then(|id| id.to_str().ok());
-    tracing::info!(request, %why, "the body of a request");
-    empty_response(match why {
-        BodyError::Slow => StatusCode::REQUEST_TIMEOUT,
-        BodyError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-        BodyError::Cut => StatusCode::BAD_REQUEST,
-    })
-}
-
-fn malformed_response(what: &str) -> ClientResponse {
-    let mut answer = Response::new(ResponseBody::complete(format!("malformed: {what}\n").into()));
-    *answer.status_mut() = StatusCode::BAD_REQUEST;
-    answer
-}
-
-/// `Retry-After` in decimal seconds; `None` if the span is not positive.
-fn retry_after_value(span: Span) -> Option<HeaderValue> {
-    if span.0 <= 0 {
-        return None;
-    }
-    HeaderValue::from_str(&format!("{:.3}", span.f() / 1e6)).ok()
-}
-
-fn cookie<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    let lines = headers.get_all(COOKIE).iter().filter_map(|v| v.to_str().ok());
-    let mut pairs = lines.flat_map(|l| l.split(';')).filter_map(|p| p.trim().split_once('='));
-    pairs.find(|(n, _)| *n == name).map(|(_, value)| value)
-}
-
-/// Converts an absolute-form target, which clients may send, to origin form (RFC 9112, 3.2).
-fn origin_form(uri: Uri) -> Uri {
-    uri.path_and_query().map_or(Uri::default(), |asked| Uri::from(asked.clone()))
-}
-
-/// The headers of the request to an upstream.
-fn upstream_headers(mut headers: HeaderMap, length: Option<u64>) -> HeaderMap {
-    remove_hop_by_hop_headers(&mut headers);
-    headers.remove(EXPECT);
-    headers.remove(CONTENT_LENGTH);
-    // A body of unknown length is sent chunked.
-    if let Some(length) = length.filter(|n| *n > 0) {
-        headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
-    }
-    // HTTP/1.1 requires `Host`; without it the upstream would reject the request.
-    headers.entry(HOST).or_insert(HeaderValue::from_static("api.internal"));
-    headers
-}
-
-/// Removes the headers that concern a single connection only (RFC 9110, 7.6.1).
-fn remove_hop_by_hop_headers(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .filter_map(|n| n.trim().parse().ok())
-        .collect();
-    for name in named {
-        headers.remove(name);
-    }
-    for name in [CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE] {
-        headers.remove(name);
-    }
-    for name in ["keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization"] {
-        headers.remove(name);
-    }
-}
--- a/src/bin/hollowpaddle/upstreams.rs
+++ b/src/bin/hollowpaddle/upstreams.rs
@@ -1,7 +1,10 @@
 //! Attempts at upstreams, and the pool of upstream connections.
 
 mod connection;
+mod first_part;
+mod forward;
 mod response_progress;
+mod send_progress;
 mod streamed_response;
 
 use std::cell::{Cell, RefCell};
@@ -16,27 +19,26 @@
 use hollowpaddle::invariants::violations::Violations;
 use hollowpaddle::settings::Field;
 use hollowpaddle::tasks::AbortOnDrop;
-use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
-use hyper::header::{HeaderMap, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::header::HeaderMap;
+use hyper::{Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use prometheus_client::metrics::counter::Counter;
 use rustc_hash::FxHashMap;
 use tokio::net::TcpSocket;
-use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout};
 
-use crate::bodies::{
-    BodyProgress, MAX_BUFFERED_BYTES, MAX_RESPONSE_HEAD_BYTES, Payload, UpstreamRequestBody,
-    UpstreamResponse, append,
-};
+use crate::bodies::{MAX_BUFFERED_BYTES, UpstreamResponse};
 use crate::config::Config;
 use crate::guard::AttemptGuard;
 use crate::memory::{BufferMemory, HeadGate, HeadMemory, MemoryBudget, Reservation};
 use crate::succession::SOCKET_BUFFER_BYTES;
 use connection::{CountedIo, OpenConnectionGuard, UpstreamConnection, Written};
-use hollowpaddle::socket::{Peer, Socket, Unread};
+use first_part::{buffer_first_part, read_first_part};
+pub use forward::{Forward, header_bytes};
+use hollowpaddle::socket::{Socket, Unread};
+use send_progress::{SendProgress, attempt_timeout};
 pub use streamed_response::StreamedResponse;
 
 /// Idle connections are closed at this fraction of the upstream's keep-alive limit. A request sent while the
@@ -52,32 +54,10 @@
 /// How long a connection may take to be ready for reuse after a complete response.
 const READY_TIMEOUT: Duration = Duration::from_millis(10);
 
-/// How long to wait for a response of unknown size to be complete or to exceed the buffer limit, before its first
-/// part is forwarded: the latency of a large response is measured at its first bytes.
-const COMPLETE_BODY_TIMEOUT: Duration = Duration::from_millis(20);
+/// Maximum size of a response head.
+const MAX_RESPONSE_HEAD_BYTES: usize = 32 << 10;
 /// An exchange is aborted when the upstream neither reads nor sends a byte for this long in the middle of a body.
 const STALL_TIMEOUT: Duration = Duration::from_secs(8);
-/// How often the upload is checked for such a stall.
-const STALL_CHECK_INTERVAL: Duration = Duration::from_secs(1);
-
-/// A client's request as it is forwarded, shared by all of its attempts.
-pub struct Forward {
-    pub method: Method,
-    pub uri: Uri,
-    pub headers: HeaderMap,
-    pub body: Payload,
-    /// The client's deadline; set again once the request body is complete.
-    pub until: Cell<Instant>,
-    /// The connection of the client that waits for the answer.
-    pub client: Peer,
-}
-
-impl Forward {
-    /// The client's `X-Request-Id`.
-    pub fn id(&self) -> Option<&str> {
-        self.headers.get("x-request-id")?.to_str().ok()
-    }
-}
 
 /// The outcome of an attempt, with its response if it succeeded.
 pub struct AttemptResult {
@@ -404,7 +384,7 @@
         let length = body.size_hint().exact();
         let reserved = serves.then(|| self.reserve_for_response(length)).flatten();
         let buffered = match (serves, reserved) {
-            (true, Some(reserved)) => first_part(&mut body, length, reserved).await,
+            (true, Some(reserved)) => buffer_first_part(&mut body, length, reserved).await,
             (true, None) => Ok((Bytes::new(), body.is_end_stream())),
             (false, _) => {
                 read_first_part(&mut body, length, |_| {}).await.map(|done| (Bytes::new(), done))
@@ -436,76 +416,6 @@
     }
 }
 
-/// Buffers the first part of a body in reserved memory. Also returns whether the body is complete.
-async fn first_part(
-    body: &mut Incoming,
-    length: Option<u64>,
-    reserved: Reservation,
-) -> Result<(Bytes, bool), hyper::Error> {
-    let mut buffered = Vec::new();
-    let append = |piece: &Bytes| append(&mut buffered, piece, MAX_BUFFERED_BYTES);
-    let complete = read_first_part(body, length, append).await?;
-    Ok((reserved.attach(buffered.into()), complete))
-}
-
-/// Reads a body until it ends or exceeds the buffer limit; if its size is unknown, for a limited time. Returns whether the
-/// body is complete.
-async fn read_first_part(
-    body: &mut Incoming,
-    length: Option<u64>,
-    mut on_piece: impl FnMut(&Bytes),
-) -> Result<bool, hyper::Error> {
-    if length.is_some_and(|n| n > MAX_BUFFERED_BYTES as u64) {
-        return Ok(body.is_end_stream());
-    }
-    let by = Instant::now() + COMPLETE_BODY_TIMEOUT;
-    let mut read = 0;
-    loop {
-        let frame = match length {
-            Some(_) => Ok(body.frame().await),
-            None => timeout_at(by, body.frame()).await,
-        };
-        let frame = match frame {
-            Ok(frame) => frame,
-            // Timed out with nothing to forward yet: waits for the first frame.
-            Err(_) if read == 0 => body.frame().await,
-            Err(_) => return Ok(false),
-        };
-        let Some(frame) = frame else { return Ok(true) };
-        if let Ok(piece) = frame?.into_data() {
-            on_piece(&piece);
-            read += piece.len();
-        }
-        if read > MAX_BUFFERED_BYTES {
-            return Ok(body.is_end_stream());
-        }
-    }
-}
-
-/// Waits until an attempt has timed out. While a request body is being forwarded, that is when the upstream has
-/// stopped reading it.
-async fn attempt_timeout(forward: &Forward, until: Instant, progress: &SendProgress) {
-    let Some(rest) = &forward.body.rest else { return sleep_until(until).await };
-    let allowed = until.saturating_duration_since(Instant::now());
-    let stalled = async {
-        let (mut seen, mut since) = (progress.bytes(), Instant::now());
-        while since.elapsed() < STALL_TIMEOUT {
-            sleep(STALL_CHECK_INTERVAL).await;
-            if rest.is_waiting_for_client() || progress.bytes() != seen {
-                (seen, since) = (progress.bytes(), Instant::now());
-            }
-        }
-    };
-    tokio::select! {
-        how = rest.ended() => match how {
-            Ok(()) => sleep(allowed).await,
-            // The exchange itself fails in this case.
-            Err(_) => std::future::pending().await,
-        },
-        () = stalled => {}
-    }
-}
-
 /// Parses `X-Load: TEXT name=value, name=value`; unknown names and malformed values are ignored.
 fn parse_load_report(fields: &[(String, Field)], headers: &HeaderMap) -> Report {
     let mut report = Report::default();
@@ -522,72 +432,5 @@
     report
 }
 
-/// The least size of these headers on a connection, in bytes: each line has at least four besides name and value, `: ` and
-/// CRLF.
-pub fn header_bytes(headers: &HeaderMap) -> usize {
-    headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum()
-}
-
-/// Tracks how much of a request was handed to the kernel.
-#[derive(Default)]
-struct SendProgress {
-    written: RefCell<Option<(Written, u64)>>,
-    due: RefCell<BodyProgress>,
-}
-
-impl SendProgress {
-    fn start(&self, written: &Written, due: BodyProgress) {
-        let from = written.bytes.get();
-        // For an incomplete body, `complete_at` is set once its last byte was handed over.
-        written.complete_at.set(due.all.get().then(|| from + due.bytes.get()));
-        self.written.replace(Some((written.clone(), from)));
-        self.due.replace(due);
-    }
-    fn bytes(&self) -> u64 {
-        self.written.borrow().as_ref().map_or(0, |(w, from)| w.bytes.get() - from)
-    }
-    fn nothing_written(&self) -> bool {
-        self.bytes() == 0
-    }
-    /// Whether the request's last byte was certainly not written; false in doubt.
-    fn certainly_incomplete(&self) -> bool {
-        let due = self.due.borrow();
-        !due.all.get() || self.bytes() < due.bytes.get().max(1)
-    }
-}
-
-impl Forward {
-    fn request(
-        &self,
-        until: Instant,
-        progress: &SendProgress,
-        written: &Written,
-        guard: &Rc<AttemptGuard>,
-        short_head_bytes: usize,
-    ) -> Option<Request<UpstreamRequestBody>> {
-        let due = BodyProgress::default();
-        let (from, of, all) = (written.bytes.get(), written.clone(), due.clone());
-        let given = move || of.complete_at.set(Some(from + all.bytes.get()));
-        let mut request =
-            Request::new(UpstreamRequestBody::new(&self.body, due.clone(), Box::new(given)));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        *request.headers_mut() = self.headers.clone();
-        let left = until.saturating_duration_since(Instant::now());
-        guard.set_sent_deadline(left);
-        written.guard.replace(Some(guard.clone()));
-        let left = HeaderValue::from_str(&left.as_millis().to_string()).ok()?;
-        request.headers_mut().insert("x-deadline-ms", left);
-        let head = header_bytes(request.headers());
-        due.bytes.set(due.bytes.get() + head as u64);
-        written.awaits_head.set(true);
-        if head > short_head_bytes {
-            written.long_head.set(true);
-        }
-        progress.start(written, due);
-        Some(request)
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/bin/hollowpaddle/upstreams/tests.rs
+++ b/src/bin/hollowpaddle/upstreams/tests.rs
@@ -1,4 +1,9 @@
+use bytes::Bytes;
+use hollowpaddle::socket::Peer;
+use hyper::{Method, Uri};
+
 use super::*;
+use crate::bodies::Payload;
 
 #[test]
 fn load_report_ignores_what_it_cannot_parse() {
