An upload's time runs from when its last byte came, not from when it could be read

Class: a clock that starts with the process's own progress instead of the event it is about.

Change: BodyArrival decides, without I/O, from the bytes that the kernel holds (FIONREAD; the end of a chunked body by a look at the queue's tail) since when the last byte may have been written. A body that moves is not ended before; one that stalls is ended after the request's time, and its attempt's connection closed: it never had all of it, so it did not run. The log says 'request body complete' (debug) and 'request body was not passed on in time'; uploads_timed_out counts at /metrics.

--- /dev/null
+++ b/src/bin/hollowpaddle/bodies/last_byte.rs
@@ -0,0 +1,127 @@
+//! Decides by when a request must be answered whose body is incomplete, from how its bytes have arrived.
+//!
+//! A request's time starts when its client has written the last byte. While an upstream reads slowly, that byte may wait for
+//! seconds in the kernel of either side, so the time cannot start when it is read. What this machine's kernel holds is known;
+//! what the client's kernel holds shows only as more of it arrives.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Maximum size of the send buffer of a client's kernel (Linux, default of `tcp_wmem`): as long as more of a body is missing,
+/// its client has not written all of it.
+const MAX_SEND_BUFFER_BYTES: u64 = 4 << 20;
+/// The end of a body that a client's kernel holds unseen, for as long as it may take to arrive.
+const HIDDEN_END_BYTES: u64 = 64 << 10;
+const HIDDEN_END_TIME: Duration = Duration::from_millis(150);
+/// By how much the last byte of a body of unknown size may have been written before it arrived, since its client's kernel held
+/// it: at most, and as a part of the request's time.
+const UNSEEN_TIME: Duration = Duration::from_millis(450);
+const UNSEEN_DIVISOR: u32 = 4;
+/// A body that moves brings something at least this often, since kernels tell of free room in steps, and clients and
+/// upstreams at 64 kB/s must be served.
+const MIN_STALL_TIME: Duration = Duration::from_millis(1500);
+
+/// How many bytes of a request body have arrived, and when.
+#[derive(Clone, Debug)]
+pub(super) struct BodyArrival {
+    /// The size of the body in bytes, if the request declares it.
+    size: Option<u64>,
+    /// The number of bytes received by this machine.
+    received: u64,
+    received_at: Instant,
+    /// The number of bytes passed on to an upstream.
+    passed_on: u64,
+    /// When bytes were last received or passed on.
+    moved_at: Instant,
+    /// Since when the rest may be in the client's kernel, if it is small.
+    end_hidden_since: Option<Instant>,
+    /// Whether the newest bytes may have been hidden in the client's kernel before.
+    was_hidden: bool,
+    /// Whether the bytes received end as a body of unknown size does.
+    ends: bool,
+}
+
+impl BodyArrival {
+    /// A body of which nothing was received by `now`.
+    pub(super) fn new(size: Option<u64>, now: Instant) -> Self {
+        Self {
+            size,
+            received: 0,
+            received_at: now,
+            passed_on: 0,
+            moved_at: now,
+            end_hidden_since: None,
+            was_hidden: false,
+            ends: false,
+        }
+    }
+
+    /// Records how many bytes were received and passed on by `now`, and whether more may be hidden in the client's kernel:
+    /// nothing is while the proxy waits for the client. Returns whether more was received than before.
+    pub(super) fn record(
+        &mut self,
+        (received, passed_on): (u64, u64),
+        hidden: bool,
+        now: Instant,
+    ) -> bool {
+        let grown = received > self.received;
+        if grown {
+            self.received = received;
+            self.received_at = now;
+            self.was_hidden = hidden;
+            self.ends = false;
+        }
+        if grown || passed_on > self.passed_on {
+            self.passed_on = passed_on;
+            self.moved_at = now;
+        }
+        if !hidden {
+            self.end_hidden_since = None;
+        } else if self.missing().is_some_and(|bytes| bytes <= HIDDEN_END_BYTES) {
+            self.end_hidden_since.get_or_insert(now);
+        }
+        grown
+    }
+
+    /// Records whether the bytes received so far end as a body of unknown size does.
+    pub(super) fn record_end(&mut self, ends: bool) {
+        self.ends = ends;
+    }
+
+    /// Whether bytes were received or passed on after `time`.
+    pub(super) fn has_moved_since(&self, time: Instant) -> bool {
+        self.moved_at > time
+    }
+
+    /// When the last byte was written, if the newest bytes received are the last ones, for a request with `time` after it.
+    pub(super) fn arrived_at(&self, time: Duration) -> Instant {
+        if let Some(since) = self.end_hidden_since {
+            return self.received_at.min(since + HIDDEN_END_TIME);
+        }
+        let unseen = UNSEEN_TIME.min(time / UNSEEN_DIVISOR);
+        let hidden = self.size.is_none() && self.was_hidden;
+        self.received_at.checked_sub(unseen).filter(|_| hidden).unwrap_or(self.received_at)
+    }
+
+    /// By when the request must be answered, with `time` after its last byte, if nothing more arrives; `None` while the last
+    /// byte is certainly not written.
+    pub(super) fn due(&self, time: Duration) -> Option<Instant> {
+        if self.missing().map_or(self.ends, |bytes| bytes == 0) {
+            return Some(self.arrived_at(time) + time);
+        }
+        if self.missing().is_some_and(|bytes| bytes > MAX_SEND_BUFFER_BYTES) {
+            return None;
+        }
+        let stalled = self.moved_at + time.max(MIN_STALL_TIME);
+        let end_due = self.end_hidden_since.map(|since| since + HIDDEN_END_TIME + time);
+        Some(end_due.map_or(stalled, |at| at.min(stalled)))
+    }
+
+    fn missing(&self) -> Option<u64> {
+        self.size.map(|size| size.saturating_sub(self.received))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/bin/hollowpaddle/bodies/mod.rs
+++ b/src/bin/hollowpaddle/bodies/mod.rs
@@ -1,5 +1,7 @@
 //! Request and response bodies: small ones are buffered completely, larger ones are streamed at the receiver's pace.
 
+mod last_byte;
+mod read_ahead;
 mod request;
 mod response;
 
--- /dev/null
+++ b/src/bin/hollowpaddle/bodies/read_ahead/tests.rs
@@ -0,0 +1,45 @@
+use super::*;
+
+const LIMIT: usize = 8 * MAX_PIECE_BYTES;
+
+#[test]
+fn pieces_come_back_in_order_and_their_memory_is_free_again() {
+    let memory = BufferMemory::new(3 * MAX_PIECE_BYTES);
+    let mut ahead = ReadAhead::new(memory.clone());
+    let mut written = Vec::new();
+    for (n, size) in [1, MAX_PIECE_BYTES, 20_000, 7].into_iter().enumerate() {
+        assert!(ahead.reserve(LIMIT));
+        let piece = vec![n as u8; size];
+        ahead.append(&piece);
+        written.extend(piece);
+    }
+    ahead.release_spare();
+    let mut read = Vec::new();
+    while let Some(block) = ahead.pop() {
+        read.extend_from_slice(&block);
+    }
+    assert_eq!(read, written);
+    assert!(memory.reserve(3 * MAX_PIECE_BYTES).is_some());
+}
+
+#[test]
+fn small_pieces_share_a_block_and_no_more_is_read_than_memory_allows() {
+    let mut ahead = ReadAhead::new(BufferMemory::new(2 * MAX_PIECE_BYTES));
+    let mut pieces = 0;
+    while ahead.reserve(LIMIT) {
+        ahead.append(b"x");
+        pieces += 1;
+    }
+    assert!(pieces > MAX_PIECE_BYTES && pieces <= 2 * MAX_PIECE_BYTES, "{pieces}");
+}
+
+#[test]
+fn no_more_is_read_than_the_limit() {
+    let mut ahead = ReadAhead::new(BufferMemory::new(1 << 20));
+    let mut read = 0;
+    while ahead.reserve(LIMIT) {
+        ahead.append(&[0; MAX_PIECE_BYTES]);
+        read += MAX_PIECE_BYTES;
+    }
+    assert_eq!(read, LIMIT);
+}
--- a/src/bin/hollowpaddle/bodies/request.rs
+++ b/src/bin/hollowpaddle/bodies/request.rs
@@ -4,7 +4,7 @@
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,8 +12,11 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, Sleep, sleep, timeout};
 
+use super::last_byte::BodyArrival;
+use super::read_ahead::ReadAhead;
 use super::{BodyBuffer, BodyError, MAX_REQUEST_BODY_BYTES};
-use crate::memory::{PieceSlot, Reservation};
+use crate::client_connection::ClientInput;
+use crate::memory::{BufferMemory, PieceSlot, Reservation};
 
 /// Minimum rate at which a client must send a body. Clients at 64 kB/s must be served; the lower limit allows for
 /// uneven arrival.
@@ -22,6 +25,21 @@
 const MAX_WAIT: Duration = Duration::from_millis(2500);
 /// How long the rest of a body is read after its request was answered, if it keeps the minimum rate.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(20);
+/// How often the arrival of a body is observed while its upstream does not read it.
+const OBSERVE_INTERVAL: Duration = Duration::from_millis(25);
+/// The most memory for what is read of a body before its upstream takes it. Reading ahead makes a request's time start
+/// earlier, so that less is read for an upstream that may take a large body in time.
+const MAX_READ_AHEAD_BYTES: usize = 512 << 10;
+const MAX_SLOW_READ_AHEAD_BYTES: usize = 1 << 20;
+/// An upstream is slow if it takes less than the buffers of both kernels hold in the request's time; judged after a while,
+/// and without what these buffers take at once.
+const KERNEL_BUFFER_BYTES: u64 = 200 << 10;
+const FIRST_BYTES: u64 = 100 << 10;
+const MIN_JUDGED_TIME: Duration = Duration::from_millis(500);
+/// Of a body that has stalled for longer nothing is read ahead: what arrives then may have been written long before.
+const MAX_STALL: Duration = Duration::from_millis(300);
+/// Limit of one run of reading ahead.
+const READ_AHEAD_TIMEOUT: Duration = Duration::from_millis(25);
 
 /// Enforces the minimum rate of a request body. Only time spent waiting for the client counts: a body that is not
 /// read because no upstream takes it is not late.
@@ -53,8 +71,21 @@
 /// The body of a request as received from its client.
 pub struct RequestBody {
     body: RefCell<Incoming>,
+    input: ClientInput,
+    /// The number of bytes that had been read from the client when the request's head was complete, and how many of them
+    /// belong to the body.
+    input_start: u64,
+    read_with_head: Cell<u64>,
+    /// The size that the request declares, in bytes.
+    size: Option<u64>,
     pace: RefCell<Pace>,
+    arrival: RefCell<BodyArrival>,
+    ahead: RefCell<ReadAhead>,
+    reading_ahead: Cell<bool>,
+    /// The upstream connection that waits for more of the body.
+    sender: RefCell<Option<Waker>>,
     read: Cell<u64>,
+    passed_on: Cell<u64>,
     ended: Cell<Option<Result<(), BodyError>>>,
     changed: Notify,
     /// Part of it was passed to an upstream without being buffered, so that it cannot be sent again.
@@ -64,14 +95,30 @@
 }
 
 impl RequestBody {
-    /// The client has `patience` to send the first bytes.
-    pub fn new(body: Incoming, patience: Duration) -> Rc<Self> {
+    /// The client has `patience` to send the first bytes. What is read before an upstream takes it is reserved from
+    /// `memory`.
+    pub fn new(
+        body: Incoming,
+        input: ClientInput,
+        patience: Duration,
+        memory: BufferMemory,
+    ) -> Rc<Self> {
         let timer = Box::pin(sleep(patience));
+        let size = body.size_hint().exact();
         Rc::new(Self {
+            input_start: input.read(),
+            read_with_head: Cell::new(0),
+            input,
+            size,
+            arrival: RefCell::new(BodyArrival::new(size, Instant::now())),
             ended: Cell::new(body.is_end_stream().then_some(Ok(()))),
             body: RefCell::new(body),
+            ahead: RefCell::new(ReadAhead::new(memory)),
+            reading_ahead: Cell::new(false),
+            sender: RefCell::default(),
             pace: RefCell::new(Pace { left: patience, since: None, timer }),
             read: Cell::new(0),
+            passed_on: Cell::new(0),
             changed: Notify::new(),
             consumed: Cell::new(false),
             slot: PieceSlot::default(),
@@ -83,8 +130,8 @@
         self.changed.notify_waiters();
     }
 
-    /// The next chunk; `None` at the end of the body.
-    fn poll(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
+    /// The next chunk from the client; `None` at the end of the body.
+    fn poll_client(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
         if let Some(how) = self.ended.get() {
             return Poll::Ready(how.err().map(Err));
         }
@@ -101,6 +148,8 @@
                     self.end(Ok(()));
                     return Poll::Ready(None);
                 }
+                // The client is not waited for while no upstream would take more.
+                Poll::Pending if self.reading_ahead.get() => return Poll::Pending,
                 Poll::Pending => {
                     ready!(self.pace.borrow_mut().poll_expired(cx));
                     break Err(BodyError::Slow);
@@ -108,6 +157,9 @@
             }
         };
         let next = next.and_then(|data| {
+            if self.read.get() == 0 && self.input.read() == self.input_start {
+                self.read_with_head.set(data.len() as u64);
+            }
             self.pace.borrow_mut().record_received(data.len());
             self.read.set(self.read.get() + data.len() as u64);
             if self.read.get() > MAX_REQUEST_BODY_BYTES {
@@ -124,13 +176,115 @@
         Poll::Ready(Some(next))
     }
 
+    /// The number of bytes received.
+    pub fn received(&self) -> u64 {
+        self.read.get()
+    }
+
+    /// The next part for an upstream; `None` at the end of the body.
+    fn poll_next(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
+        let ahead = self.ahead.borrow_mut().pop();
+        let next = match ahead {
+            Some(block) => Some(Ok(block)),
+            None => match self.poll_client(cx) {
+                // A copy, because a piece may share the larger read buffer that it arrived in.
+                Poll::Ready(next) => next.map(|piece| piece.map(|p| Bytes::copy_from_slice(&p))),
+                Poll::Pending => {
+                    self.sender.replace(Some(cx.waker().clone()));
+                    return Poll::Pending;
+                }
+            },
+        };
+        if let Some(Ok(piece)) = &next {
+            self.passed_on.set(self.passed_on.get() + piece.len() as u64);
+        }
+        Poll::Ready(next)
+    }
+
+    /// Observes the arrival of a body whose upstream reads more slowly than its client writes. A part is read ahead, as far
+    /// as there is memory, since otherwise its client's kernel holds it unseen. The request has `time` after its last byte.
+    /// Returns once the body has ended.
+    pub async fn observe_arrival(&self, time: Duration) {
+        let start = Instant::now();
+        while self.is_coming() {
+            let passed_on = self.passed_on.get();
+            sleep(OBSERVE_INTERVAL).await;
+            let held_back = !self.is_waiting_for_client() && self.passed_on.get() == passed_on;
+            if held_back && self.arrival.borrow().has_moved_since(Instant::now() - MAX_STALL) {
+                self.read_ahead(self.max_read_ahead(start.elapsed(), time)).await;
+            }
+            self.record_arrival();
+        }
+    }
+
+    /// The number of bytes that this machine has received: of the body, or, if its size is unknown, with its framing.
+    fn bytes_received(&self) -> u64 {
+        let since_head = self.input.received().saturating_sub(self.input_start);
+        let received = since_head + self.read_with_head.get();
+        self.size.map_or(received, |size| size.min(received))
+    }
+
+    /// Records what has arrived by now.
+    fn record_arrival(&self) {
+        let counts = (self.bytes_received(), self.passed_on.get());
+        let hidden = !self.is_waiting_for_client();
+        let grown = self.arrival.borrow_mut().record(counts, hidden, Instant::now());
+        if grown && self.is_coming() && self.size.is_none() {
+            self.arrival.borrow_mut().record_end(self.input.ends_with_empty_line());
+        }
+    }
+
+    /// When the last byte was written, as far as it is known, for a request with `time` after it.
+    pub fn arrived_at(&self, time: Duration) -> Instant {
+        self.record_arrival();
+        self.arrival.borrow().arrived_at(time)
+    }
+
+    /// By when the request must be answered if the body stays as it is, with `time` after its last byte; `None` while its
+    /// last byte is certainly to come.
+    pub fn due(&self, time: Duration) -> Option<Instant> {
+        self.record_arrival();
+        if self.is_waiting_for_client() { None } else { self.arrival.borrow().due(time) }
+    }
+
+    /// How much may be read ahead of an upstream that has read for `elapsed`.
+    fn max_read_ahead(&self, elapsed: Duration, time: Duration) -> usize {
+        let taken = self.passed_on.get().saturating_sub(FIRST_BYTES) as f64;
+        let in_time = taken / elapsed.as_secs_f64() * time.as_secs_f64();
+        let slow = elapsed >= MIN_JUDGED_TIME && in_time < KERNEL_BUFFER_BYTES as f64;
+        if slow { MAX_SLOW_READ_AHEAD_BYTES } else { MAX_READ_AHEAD_BYTES }
+    }
+
+    async fn read_ahead(&self, limit: usize) {
+        let read = poll_fn(|cx| self.poll_read_ahead(cx, limit));
+        let _ = timeout(READ_AHEAD_TIMEOUT, read).await;
+        self.ahead.borrow_mut().release_spare();
+        // The upstream's own wake-up may have been replaced by the one of this read.
+        if let Some(sender) = self.sender.take() {
+            sender.wake();
+        }
+    }
+
+    fn poll_read_ahead(&self, cx: &mut Context<'_>, limit: usize) -> Poll<()> {
+        while self.is_coming() && self.ahead.borrow_mut().reserve(limit) {
+            self.reading_ahead.set(true);
+            let next = self.poll_client(cx);
+            self.reading_ahead.set(false);
+            match ready!(next) {
+                Some(Ok(piece)) => self.ahead.borrow_mut().append(&piece),
+                _ => return Poll::Ready(()),
+            }
+        }
+        Poll::Ready(())
+    }
+
     /// Reads the body into `buffer` until it ends or the buffer is full. The result holds what is `reserved`, if given.
     pub async fn read_into(
         &self,
         mut buffer: BodyBuffer,
         reserved: Option<Reservation>,
     ) -> Result<Bytes, BodyError> {
-        while let Some(piece) = poll_fn(|cx| self.poll(cx)).await {
+        while let Some(piece) = poll_fn(|cx| self.poll_client(cx)).await {
             buffer.append(&piece?);
             if buffer.is_full() {
                 break;
@@ -139,10 +293,16 @@
         Ok(buffer.finish(reserved))
     }
 
+    /// Whether the last byte was received.
     pub fn is_complete(&self) -> bool {
         self.ended.get() == Some(Ok(()))
     }
 
+    /// Whether all of it was received and passed on.
+    fn is_passed_on(&self) -> bool {
+        self.is_complete() && self.ahead.borrow().is_empty()
+    }
+
     pub fn is_coming(&self) -> bool {
         self.ended.get().is_none()
     }
@@ -169,7 +329,8 @@
 
     /// Reads and discards the rest of the body, for at most [`DRAIN_TIMEOUT`].
     pub async fn drain(&self) {
-        let rest = async { while let Some(Ok(_)) = poll_fn(|cx| self.poll(cx)).await {} };
+        self.ahead.borrow_mut().clear();
+        let rest = async { while let Some(Ok(_)) = poll_fn(|cx| self.poll_client(cx)).await {} };
         let _ = timeout(DRAIN_TIMEOUT, rest).await;
     }
 }
@@ -230,7 +391,7 @@
         }
         let Some(rest) = self.rest.clone() else { return Poll::Ready(None) };
         ready!(rest.slot.poll_free(cx));
-        let piece = ready!(rest.poll(cx));
+        let piece = ready!(rest.poll_next(cx));
         rest.consumed.set(true);
         match piece {
             None => {
@@ -241,10 +402,10 @@
             Some(Ok(data)) => {
                 self.due.bytes.set(self.due.bytes.get() + data.len() as u64);
                 // With a known size hyper does not poll again for the end of the body.
-                if rest.is_complete() {
+                if rest.is_passed_on() {
                     self.mark_complete();
                 }
-                self.emit(rest.slot.hold(&data))
+                self.emit(rest.slot.hold(data))
             }
         }
     }
--- a/src/bin/hollowpaddle/client_connection.rs
+++ b/src/bin/hollowpaddle/client_connection.rs
@@ -9,7 +9,7 @@
 
 use crate::memory::{HeadGate, PieceReader};
 use hollowpaddle::invariants::permit::{self, CloseFacts};
-use hollowpaddle::socket::{Socket, Unread};
+use hollowpaddle::socket::{Peer, Socket, Tail, Unread};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -82,6 +82,9 @@
     /// Whether hyper waits for data, so that it would see the peer's close. hyper stops reading once it has buffered
     /// bytes beyond the current request, or of a body that is not consumed.
     reading: Cell<bool>,
+    /// The number of bytes that hyper has read, and the last of them.
+    bytes_read: Cell<u64>,
+    tail: Cell<Tail>,
     /// Since when the connection may have waited in the backlog, or the head of its request for memory; applies to its next
     /// request.
     waited_since: Cell<Option<Instant>>,
@@ -102,6 +105,8 @@
             write_stalled_since: Cell::new(None),
             has_served: Cell::new(false),
             reading: Cell::new(true),
+            bytes_read: Cell::new(0),
+            tail: Cell::default(),
         }
     }
 
@@ -232,6 +237,11 @@
         }
     }
 
+    fn record_read(&self, bytes: usize, tail: Tail) {
+        self.bytes_read.set(self.bytes_read.get() + bytes as u64);
+        self.tail.set(tail);
+    }
+
     /// Records the result of a write; `stalled` if nothing could be written.
     fn record_write(&self, stalled: bool) {
         let now = Instant::now();
@@ -243,6 +253,30 @@
     }
 }
 
+/// What a client has sent on its connection, as far as this machine has received it.
+pub struct ClientInput {
+    connection: Rc<ClientConnection>,
+    peer: Peer,
+}
+
+impl ClientInput {
+    /// The number of bytes that hyper has read.
+    pub fn read(&self) -> u64 {
+        self.connection.bytes_read.get()
+    }
+
+    /// The number of bytes received, read or not.
+    pub fn received(&self) -> u64 {
+        self.read() + self.peer.unread_bytes()
+    }
+
+    /// Whether the last bytes received are an empty line, with which chunked bodies end.
+    pub fn ends_with_empty_line(&self) -> bool {
+        let unread = self.peer.unread_tail();
+        unread.unwrap_or(self.connection.tail.get()).is_empty_line()
+    }
+}
+
 /// Marks a request as in flight on its connection until dropped.
 pub struct RequestGuard {
     connection: Rc<ClientConnection>,
@@ -256,6 +290,11 @@
         self.waited_since.map_or(read, |since| since.min(read))
     }
 
+    /// The input of the request's connection, whose peer is `peer`.
+    pub fn input(&self, peer: Peer) -> ClientInput {
+        ClientInput { connection: self.connection.clone(), peer }
+    }
+
     /// How long the client may take to start sending its body.
     pub fn body_start_timeout(&self) -> Duration {
         let [min, max] = BODY_START_TIMEOUT_RANGE;
@@ -321,6 +360,7 @@
         let read = stream.reader.poll_read(stream.inner.inner_mut(), cx, &mut buf);
         self.connection.reading.set(read.is_pending());
         let bytes = ready!(read)?;
+        self.connection.record_read(bytes, self.reader.tail());
         match self.connection.state.get() {
             State::Idle(_) => self.connection.state.set(State::Asking(Instant::now())),
             State::Silent(since) => self.connection.state.set(State::Asking(since)),
--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -368,7 +368,8 @@
         if length.is_some_and(|n| n > MAX_REQUEST_BODY_BYTES) {
             return body_error_response(BodyError::TooLarge, &id);
         }
-        let body = RequestBody::new(body, guard.body_start_timeout());
+        let (input, memory) = (guard.input(client.clone()), self.memory.large_pieces.clone());
+        let body = RequestBody::new(body, input, guard.body_start_timeout(), memory);
         let kept = match self.buffer_body(&body, length).await {
             Ok(kept) => kept,
             Err(why) => return body_error_response(why, &id),
--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -2,6 +2,7 @@
 //! the policy in order of arrival and executes the returned actions in order. It makes no decisions itself.
 
 mod handle;
+mod uploads;
 mod upstream_table;
 
 use std::cell::{Cell, RefCell};
@@ -84,6 +85,8 @@
     /// Shared with the attempts, which check it right before their first byte is written.
     unanswered: Rc<Cell<bool>>,
     policy_deadline: Instant,
+    /// When the engine answers by itself, unless the body is incomplete.
+    answer_by: Instant,
     /// Set while the request body is still incomplete: the time allowed after its last byte.
     time_after_body: Option<Duration>,
     attempts: Vec<Attempt>,
@@ -435,6 +438,7 @@
             reply: Some(reply),
             unanswered: Rc::new(Cell::new(true)),
             policy_deadline,
+            answer_by: backstop(client_deadline, room),
             time_after_body,
             attempts: Vec::new(),
             last_outcome: None,
@@ -446,11 +450,8 @@
             self.give_up(id);
             return self.remove_if_done(id);
         }
-        let deadline =
-            if time_after_body.is_none() { Some(client_deadline) } else { self.shutdown_deadline };
-        if let Some(at) = deadline {
-            self.timers.push(Reverse((backstop(at, room), TimerKind::Deadline(id))));
-        }
+        // While the body is incomplete, the deadline is evaluated again each time it seems to have passed.
+        self.timers.push(Reverse((backstop(client_deadline, room), TimerKind::Deadline(id))));
         let request = d::Request {
             class: arrival.class,
             tenant: arrival.tenant,
@@ -477,22 +478,6 @@
         }
     }
 
-    /// The last byte of the request body has arrived: its deadline counts from here.
-    fn on_body_complete(&mut self, id: RequestId) {
-        let Some(pending) = self.requests.get_mut(&id) else { return };
-        let Some(time) = pending.time_after_body.take() else { return };
-        let now = Instant::now();
-        let until = self.lateness.earliest_arrival(now) + time;
-        let client_deadline = self.shutdown_deadline.map_or(until, |by| by.min(until));
-        let room = headroom(client_deadline, now);
-        pending.policy_deadline = client_deadline - room;
-        pending.forward.until.set(client_deadline);
-        pending.attempts.iter_mut().filter(|a| a.task.is_some()).for_each(|a| a.sent_at = now);
-        self.timers.push(Reverse((backstop(client_deadline, room), TimerKind::Deadline(id))));
-        let service = pending.service;
-        self.notify_policy(service, Event::BodyComplete(id));
-    }
-
     /// The client's deadline, moved forward to the shutdown deadline if that is earlier.
     fn client_deadline(&self, until: Instant) -> Instant {
         self.shutdown_deadline.map_or(until, |by| by.min(until))
@@ -501,6 +486,13 @@
     /// Answers a request that the policy has left unanswered until just before the client's deadline, or the
     /// platform's shutdown deadline.
     fn on_deadline(&mut self, id: RequestId) {
+        if self.check_upload(id) {
+            return;
+        }
+        if self.answer_due(id).is_some_and(|due| Instant::now() < due) {
+            // Set before the body was complete; another timer is set for the deadline.
+            return;
+        }
         if self.give_up(id) {
             let request = self.requests.get(&id).and_then(|r| r.forward.id());
             tracing::warn!(
--- a/src/bin/hollowpaddle/engine/handle.rs
+++ b/src/bin/hollowpaddle/engine/handle.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use hollowpaddle::interface::{RequestId, Span};
 use hollowpaddle::services::{Catalog, Routing, ServiceId};
@@ -10,7 +11,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
-use crate::bodies::{BodyError, UpstreamResponse};
+use crate::bodies::{BodyError, RequestBody, UpstreamResponse};
 use crate::lateness::Lateness;
 use crate::upstreams::{AttemptResult, Forward};
 
@@ -139,6 +140,7 @@
         let id = RequestId(self.next.replace(self.next.get() + 1));
         let (reply, mut answer) = oneshot::channel();
         let rest = forward.body.rest.clone();
+        let time = arrival.until.saturating_duration_since(Instant::now());
         let _ = self.messages.send(EngineMessage::Arrived {
             id,
             arrival,
@@ -156,6 +158,7 @@
                     let _ = self.messages.send(EngineMessage::BodyComplete(id));
                 }
                 answer = &mut answer => early = Some(answer),
+                () = observe_arrival(&rest, time) => {}
             }
         }
         let answer = match early {
@@ -167,6 +170,12 @@
     }
 }
 
+/// Observes the arrival of a body for as long as it is polled.
+async fn observe_arrival(body: &RequestBody, time: Duration) {
+    body.observe_arrival(time).await;
+    std::future::pending().await
+}
+
 /// Notifies the engine, when dropped, that the client left before its answer.
 struct NotifyLeftOnDrop<'a> {
     id: RequestId,
--- a/src/bin/hollowpaddle/memory/budget.rs
+++ b/src/bin/hollowpaddle/memory/budget.rs
@@ -14,7 +14,7 @@
 /// reservation, and one on its way to the peer.
 pub(super) const PIECES_PER_PAIR: usize = 3;
 /// The most that is ever read from a connection at a time.
-pub(super) const MAX_PIECE_BYTES: usize = 32 * KIB;
+pub const MAX_PIECE_BYTES: usize = 32 * KIB;
 /// How much may be read from a connection at a time; the largest is used with which all connections take at most three
 /// quarters of the memory. Smaller pieces cost more processor time for each byte.
 const PIECE_BYTES: [usize; 4] = [MAX_PIECE_BYTES, 16 * KIB, 8 * KIB, 4 * KIB];
--- a/src/bin/hollowpaddle/memory/message_memory.rs
+++ b/src/bin/hollowpaddle/memory/message_memory.rs
@@ -9,7 +9,8 @@
     /// For messages that are kept, and long heads.
     pub buffers: BufferMemory,
     response_heads: BufferMemory,
-    large_pieces: BufferMemory,
+    /// For large pieces, and for what is read of a request body before its upstream takes it.
+    pub large_pieces: BufferMemory,
 }
 
 impl MessageMemory {
--- a/src/bin/hollowpaddle/memory/mod.rs
+++ b/src/bin/hollowpaddle/memory/mod.rs
@@ -9,7 +9,7 @@
 mod piece_reader;
 mod piece_slot;
 
-pub use budget::MemoryBudget;
+pub use budget::{MAX_PIECE_BYTES, MemoryBudget};
 pub use buffers::{BufferMemory, Reservation};
 pub use head_gate::{HeadGate, HeadMemory};
 pub use message_memory::MessageMemory;
--- a/src/bin/hollowpaddle/memory/piece_reader.rs
+++ b/src/bin/hollowpaddle/memory/piece_reader.rs
@@ -4,7 +4,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
-use hollowpaddle::socket::Socket;
+use hollowpaddle::socket::{Socket, Tail};
 use hyper::rt::ReadBufCursor;
 use tokio::io::{AsyncRead, ReadBuf};
 
@@ -24,12 +24,13 @@
     memory: BufferMemory,
     full_pieces: u32,
     reserved: Option<Reservation>,
+    tail: Tail,
 }
 
 impl PieceReader {
     /// Reads pieces of up to `piece_bytes`, and larger ones where `memory` has room for them.
     pub fn new(piece_bytes: usize, memory: BufferMemory) -> Self {
-        Self { piece_bytes, memory, full_pieces: 0, reserved: None }
+        Self { piece_bytes, memory, full_pieces: 0, reserved: None, tail: Tail::default() }
     }
 
     /// Reads the next piece, and returns its size in bytes.
@@ -44,11 +45,17 @@
         let mut read = ReadBuf::uninit(&mut piece[..most]);
         ready!(Pin::new(socket).poll_read(cx, &mut read))?;
         buffer.put_slice(read.filled());
+        self.tail.append(read.filled());
         let bytes = read.filled().len();
         self.record(bytes == most);
         Poll::Ready(Ok(bytes))
     }
 
+    /// The last bytes read.
+    pub fn tail(&self) -> Tail {
+        self.tail
+    }
+
     fn max_piece_bytes(&self) -> usize {
         if self.reserved.is_some() { MAX_PIECE_BYTES } else { self.piece_bytes }
     }
--- a/src/bin/hollowpaddle/memory/piece_slot.rs
+++ b/src/bin/hollowpaddle/memory/piece_slot.rs
@@ -27,17 +27,16 @@
         Poll::Pending
     }
 
-    /// A copy of `piece` that takes the slot until it is dropped. A copy, because a piece may share the larger read buffer
-    /// that it arrived in.
-    pub fn hold(&self, piece: &Bytes) -> Bytes {
+    /// `data`, which takes the slot until it is dropped. It should not share a larger buffer.
+    pub fn hold(&self, data: Bytes) -> Bytes {
         self.0.lock().unwrap_or_else(PoisonError::into_inner).taken = true;
         let slot = HeldSlot(self.0.clone());
-        Bytes::from_owner(HeldPiece { data: piece.as_ref().into(), _slot: slot })
+        Bytes::from_owner(HeldPiece { data, _slot: slot })
     }
 }
 
 struct HeldPiece {
-    data: Box<[u8]>,
+    data: Bytes,
     _slot: HeldSlot,
 }
 
--- a/src/bin/hollowpaddle/memory/piece_slot/tests.rs
+++ b/src/bin/hollowpaddle/memory/piece_slot/tests.rs
@@ -18,7 +18,7 @@
     let waker = Waker::from(woken.clone());
     let mut cx = Context::from_waker(&waker);
     assert!(slot.poll_free(&mut cx).is_ready());
-    let mut piece = slot.hold(&Bytes::from_static(b"piece"));
+    let mut piece = slot.hold(Bytes::from_static(b"piece"));
     assert!(slot.poll_free(&mut cx).is_pending());
     let copy = piece.split_to(2);
     drop(piece);
--- a/src/bin/hollowpaddle/upstreams.rs
+++ b/src/bin/hollowpaddle/upstreams.rs
@@ -54,6 +54,10 @@
 /// How long a connection may take to be ready for reuse after a complete response.
 const READY_TIMEOUT: Duration = Duration::from_millis(10);
 
+/// Size of the kernel's send buffer of a connection to an upstream. A request's time runs while its end waits there, and
+/// progress is visible in steps of a third of it.
+const UPSTREAM_SEND_BUFFER_BYTES: u32 = 32 << 10;
+
 /// Maximum size of a response head.
 const MAX_RESPONSE_HEAD_BYTES: usize = 32 << 10;
 /// An exchange is aborted when the upstream neither reads nor sends a byte for this long in the middle of a body.
@@ -220,7 +224,7 @@
         let open = OpenConnectionGuard::new(&self.open_count);
         let socket =
             if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }.ok()?;
-        socket.set_send_buffer_size(SOCKET_BUFFER_BYTES).ok()?;
+        socket.set_send_buffer_size(UPSTREAM_SEND_BUFFER_BYTES).ok()?;
         socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES).ok()?;
         let stream = timeout(self.connect_timeout, socket.connect(address)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
--- a/src/bin/hollowpaddle/upstreams/forward.rs
+++ b/src/bin/hollowpaddle/upstreams/forward.rs
@@ -31,6 +31,11 @@
         self.headers.get("x-request-id")?.to_str().ok()
     }
 
+    /// The number of body bytes received.
+    pub fn received(&self) -> u64 {
+        self.body.rest.as_ref().map_or(self.body.kept.len() as u64, |rest| rest.received())
+    }
+
     /// The request for one attempt, on the connection that `written` belongs to; `None` if a header can't be written. Heads
     /// of more than `short_head_bytes` mark the connection.
     pub(super) fn request(
--- a/src/bin/hollowpaddle/upstreams/streamed_response.rs
+++ b/src/bin/hollowpaddle/upstreams/streamed_response.rs
@@ -127,7 +127,9 @@
                     if self.body.is_end_stream() {
                         self.end();
                     }
-                    return Poll::Ready(Some(Ok(self.slot.hold(&data))));
+                    // A copy, because a piece may share the larger read buffer that it arrived in.
+                    let piece = Bytes::copy_from_slice(&data);
+                    return Poll::Ready(Some(Ok(self.slot.hold(piece))));
                 }
                 Poll::Ready(Some(Err(cause))) => {
                     tracing::info!(request = self.request, %cause, "upstream response was cut off while being forwarded");
--- a/src/figures/mod.rs
+++ b/src/figures/mod.rs
@@ -147,6 +147,8 @@
     services: RefCell<FxHashMap<String, usize>>,
     /// Attempts whose last byte was written to an upstream; incremented by the upstream connections.
     pub tries: Counter,
+    /// Requests whose time passed before all of their body was passed on.
+    pub uploads_timed_out: Counter,
     /// Violations of protocol rules.
     pub violations: Violations,
     active: Gauge,
@@ -163,12 +165,18 @@
     pub fn new(per_upstream: bool) -> Rc<Self> {
         let mut registry = Registry::default();
         let requests = Family::<Labels, Counter>::default();
-        let (tries, active) = (Counter::default(), Gauge::default());
+        let (tries, uploads_timed_out) = (Counter::default(), Counter::default());
+        let active = Gauge::default();
         let pool: [Gauge; 2] = Default::default();
         let attempts = Family::<Labels, Counter>::default();
         let latencies = Family::new_with_constructor(latency_histogram as fn() -> Histogram);
         registry.register("requests", "Requests ended, by class and how", requests.clone());
         registry.register("tries", "Attempts written whole to upstreams", tries.clone());
+        registry.register(
+            "uploads_timed_out",
+            "Requests whose time passed before all of their body was passed on",
+            uploads_timed_out.clone(),
+        );
         registry.register("active", "Requests taken and not ended", active.clone());
         registry.register("pool_size", "Upstreams in the list", pool[0].clone());
         registry.register("pool_ejected", "Upstreams avoided now", pool[1].clone());
@@ -190,6 +198,7 @@
             responses,
             services,
             tries,
+            uploads_timed_out,
             violations,
             active,
             pool,
--- a/src/socket/mod.rs
+++ b/src/socket/mod.rs
@@ -6,7 +6,7 @@
 
 use std::io::{ErrorKind, IoSlice};
 use std::mem::MaybeUninit;
-use std::os::fd::AsFd;
+use std::os::fd::{AsFd, AsRawFd};
 use std::pin::{Pin, pin};
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, Waker, ready};
@@ -15,6 +15,7 @@
 use nix::errno::Errno;
 use nix::libc;
 use nix::poll::{PollFd, PollFlags, PollTimeout, poll};
+use nix::sys::socket::{MsgFlags, recv};
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
@@ -27,6 +28,9 @@
 /// Delay after an accept that failed for lack of descriptors or memory, where an immediate retry would be a busy loop.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
+/// Maximum number of unread bytes that are looked at for their end; more than a receive buffer of a proxy holds.
+const MAX_PEEK_BYTES: usize = 512 << 10;
+
 /// Errors of accept that concern a single connection or call (accept(2)); the next accept follows without a delay.
 const PER_CONNECTION_ERRORS: [i32; 12] = [
     libc::EINTR,
@@ -137,6 +141,53 @@
     }
 }
 
+impl Peer {
+    /// The number of bytes received and not read; 0 if the kernel does not tell.
+    pub fn unread_bytes(&self) -> u64 {
+        let Some(stream) = self.0.upgrade() else { return 0 };
+        rustix::io::ioctl_fionread(&*stream).unwrap_or(0)
+    }
+
+    /// The last bytes received, if any are not read.
+    pub fn unread_tail(&self) -> Option<Tail> {
+        let unread = usize::try_from(self.unread_bytes()).ok().filter(|bytes| *bytes > 0)?;
+        let stream = self.0.upgrade()?;
+        let mut bytes = vec![0; unread.min(MAX_PEEK_BYTES)];
+        let peeked = loop {
+            match recv(stream.as_raw_fd(), &mut bytes, MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT)
+            {
+                Err(Errno::EINTR) => {}
+                result => break result.ok()?,
+            }
+        };
+        let mut tail = Tail::default();
+        tail.append(&bytes[..peeked]);
+        Some(tail)
+    }
+}
+
+/// The last bytes of a stream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tail([u8; EMPTY_LINE.len()]);
+
+/// The end of a line and an empty line after it.
+const EMPTY_LINE: [u8; 4] = *b"\r\n\r\n";
+
+impl Tail {
+    /// Appends what follows on the stream.
+    pub fn append(&mut self, bytes: &[u8]) {
+        let new = &bytes[bytes.len().saturating_sub(self.0.len())..];
+        self.0.rotate_left(new.len());
+        let kept = self.0.len() - new.len();
+        self.0[kept..].copy_from_slice(new);
+    }
+
+    /// Whether the stream ends with an empty line.
+    pub fn is_empty_line(&self) -> bool {
+        self.0 == EMPTY_LINE
+    }
+}
+
 fn unread(stream: &TcpStream) -> Unread {
     loop {
         match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
