What is held back is told from what is only read late, and memory for reading ahead is shared

Cause: the flag that more may be hidden was set whenever the client was not waited for at that moment; and the first few uploads took all memory for reading ahead, so that others were read only as their upstream took a block. Change: held back is a state from the first look in which the upstream took nothing until the client is waited for again; only then the time starts earlier, by a third or 0.6 s at most. One body has a sixteenth of the memory. The receive buffer is 16 KiB.

--- a/src/bin/hollowpaddle/bodies/last_byte.rs
+++ b/src/bin/hollowpaddle/bodies/last_byte.rs
@@ -14,10 +14,10 @@
 /// The end of a body that a client's kernel holds unseen, for as long as it may take to arrive.
 const HIDDEN_END_BYTES: u64 = 64 << 10;
 const HIDDEN_END_TIME: Duration = Duration::from_millis(150);
-/// By how much the last byte of a body of unknown size may have been written before it arrived, since its client's kernel held
-/// it: at most, and as a part of the request's time.
-const UNSEEN_TIME: Duration = Duration::from_millis(450);
-const UNSEEN_DIVISOR: u32 = 4;
+/// By how much the last byte of a body may have been written before it arrived, if its client's kernel held more than that: at
+/// most, and as a part of the request's time.
+const UNSEEN_TIME: Duration = Duration::from_millis(600);
+const UNSEEN_DIVISOR: u32 = 3;
 /// A body that moves brings something at least this often, since kernels tell of free room in steps, and clients and
 /// upstreams at 64 kB/s must be served.
 const MIN_STALL_TIME: Duration = Duration::from_millis(1500);
@@ -27,6 +27,7 @@
 pub(super) struct BodyArrival {
     /// The size of the body in bytes, if the request declares it.
     size: Option<u64>,
+    start: Instant,
     /// The number of bytes received by this machine.
     received: u64,
     received_at: Instant,
@@ -47,6 +48,7 @@
     pub(super) fn new(size: Option<u64>, now: Instant) -> Self {
         Self {
             size,
+            start: now,
             received: 0,
             received_at: now,
             passed_on: 0,
@@ -78,7 +80,7 @@
         }
         if !hidden {
             self.end_hidden_since = None;
-        } else if self.missing().is_some_and(|bytes| bytes <= HIDDEN_END_BYTES) {
+        } else if self.missing().is_some_and(|bytes| (1..=HIDDEN_END_BYTES).contains(&bytes)) {
             self.end_hidden_since.get_or_insert(now);
         }
         grown
@@ -100,8 +102,10 @@
             return self.received_at.min(since + HIDDEN_END_TIME);
         }
         let unseen = UNSEEN_TIME.min(time / UNSEEN_DIVISOR);
-        let hidden = self.size.is_none() && self.was_hidden;
-        self.received_at.checked_sub(unseen).filter(|_| hidden).unwrap_or(self.received_at)
+        if !self.was_hidden {
+            return self.received_at;
+        }
+        self.received_at.checked_sub(unseen).map_or(self.start, |at| at.max(self.start))
     }
 
     /// By when the request must be answered, with `time` after its last byte, if nothing more arrives; `None` while the last
--- a/src/bin/hollowpaddle/bodies/read_ahead.rs
+++ b/src/bin/hollowpaddle/bodies/read_ahead.rs
@@ -6,6 +6,9 @@
 
 use crate::memory::{BufferMemory, MAX_PIECE_BYTES, Reservation};
 
+/// One body may take this part of the memory, so that others have some.
+const SHARE_DIVISOR: usize = 16;
+
 /// The read part of a body, in blocks with memory reserved for them. Small chunks share a block, since each would take
 /// more memory by itself than it has bytes.
 pub(super) struct ReadAhead {
@@ -38,6 +41,7 @@
 
     /// Reserves room for one more piece; returns false if no memory is free, or if it would take more than `limit` bytes.
     pub(super) fn reserve(&mut self, limit: usize) -> bool {
+        let limit = limit.min((self.memory.total() / SHARE_DIVISOR).max(MAX_PIECE_BYTES));
         if (self.blocks.len() + 1) * MAX_PIECE_BYTES > limit {
             return false;
         }
--- a/src/bin/hollowpaddle/bodies/request.rs
+++ b/src/bin/hollowpaddle/bodies/request.rs
@@ -80,6 +80,8 @@
     size: Option<u64>,
     pace: RefCell<Pace>,
     arrival: RefCell<BodyArrival>,
+    /// Whether its upstream has been slower than the client since the client was last waited for.
+    held_back: Cell<bool>,
     ahead: RefCell<ReadAhead>,
     reading_ahead: Cell<bool>,
     /// The upstream connection that waits for more of the body.
@@ -114,6 +116,7 @@
             ended: Cell::new(body.is_end_stream().then_some(Ok(()))),
             body: RefCell::new(body),
             ahead: RefCell::new(ReadAhead::new(memory)),
+            held_back: Cell::new(false),
             reading_ahead: Cell::new(false),
             sender: RefCell::default(),
             pace: RefCell::new(Pace { left: patience, since: None, timer }),
@@ -209,8 +212,11 @@
         while self.is_coming() {
             let passed_on = self.passed_on.get();
             sleep(OBSERVE_INTERVAL).await;
-            let held_back = !self.is_waiting_for_client() && self.passed_on.get() == passed_on;
-            if held_back && self.arrival.borrow().has_moved_since(Instant::now() - MAX_STALL) {
+            let taken = self.passed_on.get() > passed_on;
+            let waiting = self.is_waiting_for_client();
+            self.held_back.set(!waiting && (self.held_back.get() || !taken));
+            let stalled = !self.arrival.borrow().has_moved_since(Instant::now() - MAX_STALL);
+            if !waiting && !taken && !stalled {
                 self.read_ahead(self.max_read_ahead(start.elapsed(), time)).await;
             }
             self.record_arrival();
@@ -227,7 +233,7 @@
     /// Records what has arrived by now.
     fn record_arrival(&self) {
         let counts = (self.bytes_received(), self.passed_on.get());
-        let hidden = !self.is_waiting_for_client();
+        let hidden = self.held_back.get();
         let grown = self.arrival.borrow_mut().record(counts, hidden, Instant::now());
         if grown && self.is_coming() && self.size.is_none() {
             self.arrival.borrow_mut().record_end(self.input.ends_with_empty_line());
@@ -299,7 +305,7 @@
     }
 
     /// Whether all of it was received and passed on.
-    fn is_passed_on(&self) -> bool {
+    pub fn is_passed_on(&self) -> bool {
         self.is_complete() && self.ahead.borrow().is_empty()
     }
 
--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -475,6 +475,7 @@
             );
             let service = pending.service;
             self.run_policy(service, Event::Left(id));
+            self.end_unfinished_attempts(id, Outcome::Cancelled);
         }
     }
 
@@ -499,6 +500,8 @@
                 request,
                 "policy did not answer in time; answered by the engine at the deadline"
             );
+            self.end_unfinished_attempts(id, Outcome::Timeout);
+            self.process_deferred_ends();
         }
         self.remove_if_done(id);
     }
--- a/src/bin/hollowpaddle/engine/uploads.rs
+++ b/src/bin/hollowpaddle/engine/uploads.rs
@@ -81,14 +81,18 @@
         );
         self.figures.uploads_timed_out.inc();
         self.give_up(id);
-        self.end_attempts(id, Outcome::Timeout);
+        self.end_unfinished_attempts(id, Outcome::Timeout);
         self.process_deferred_ends();
         self.remove_if_done(id);
     }
 
-    /// Closes the connections of all attempts in flight.
-    fn end_attempts(&mut self, id: RequestId, outcome: Outcome) {
+    /// Ends the attempts of a request of which a part is still here: no more of it is sent for a client that has its answer
+    /// or has left, and without the rest it cannot run.
+    pub(super) fn end_unfinished_attempts(&mut self, id: RequestId, outcome: Outcome) {
         let Some(pending) = self.requests.get_mut(&id) else { return };
+        if pending.forward.body.rest.as_ref().is_none_or(|rest| rest.is_passed_on()) {
+            return;
+        }
         for (attempt, record) in pending.attempts.iter_mut().enumerate() {
             if record.task.take().is_some() {
                 let result = AttemptResult::without_response(outcome);
--- a/src/bin/hollowpaddle/memory/buffers.rs
+++ b/src/bin/hollowpaddle/memory/buffers.rs
@@ -22,6 +22,11 @@
         Self { free: Arc::new(Semaphore::new(total as usize)), total }
     }
 
+    /// The size of the memory in bytes.
+    pub fn total(&self) -> usize {
+        self.total as usize
+    }
+
     /// Reserves `bytes` bytes, if that many are free.
     pub fn reserve(&self, bytes: usize) -> Option<Reservation> {
         let bytes = u32::try_from(bytes).ok()?;
--- a/src/bin/hollowpaddle/succession.rs
+++ b/src/bin/hollowpaddle/succession.rs
@@ -19,7 +19,7 @@
 pub const SOCKET_BUFFER_BYTES: u32 = 128 << 10;
 /// Size of the kernel's receive buffer of a client's connection. What waits there is not seen until it is read, and a client
 /// learns of free room in steps of a part of it.
-const CLIENT_RECEIVE_BUFFER_BYTES: usize = 32 << 10;
+const CLIENT_RECEIVE_BUFFER_BYTES: usize = 16 << 10;
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: i32 = 1024;
 
