Soak: large uploads, and upstreams that read them slowly or stop

Two more clients at each proxy send 70 to 700 kB with small send buffers, in both framings; a third of the upstreams' reads are slow (70 to 400 kB/s), a third stop.

--- a/tests/soak/clients.rs
+++ b/tests/soak/clients.rs
@@ -29,8 +29,17 @@
     SlowWrite,
     /// Closes the connection without waiting for the answer.
     EarlyClose,
+    /// Sends large bodies, on a connection each.
+    Upload,
 }
 
+/// Send buffer of a client that sends large bodies; with a larger one, bodies seem to be sent at once.
+const UPLOAD_SEND_BUFFER: usize = 4 << 10;
+/// How long such a client waits before it writes more, or looks for an answer.
+const UPLOAD_POLL_INTERVAL: Duration = Duration::from_millis(2);
+/// A body of which not all is sent by then is given up.
+const UPLOAD_TIMEOUT: Duration = Duration::from_secs(6);
+
 /// How a client that closes early ends its connection.
 #[derive(Clone, Copy, Debug)]
 enum EarlyEnd {
@@ -91,6 +100,10 @@
                     self.send_and_close(stream, new_connection);
                     continue;
                 }
+                Behavior::Upload => {
+                    self.upload(stream);
+                    continue;
+                }
                 _ => self.exchange(&mut stream, new_connection),
             };
             if reusable && self.behavior != Behavior::ConnectionPerRequest {
@@ -163,6 +176,42 @@
         reusable
     }
 
+    /// Sends a request with a large body and reads its answer, which may come early.
+    fn upload(&mut self, mut stream: TcpStream) {
+        let _ = SockRef::from(&stream).set_send_buffer_size(UPLOAD_SEND_BUFFER);
+        let (id, text) = self.large_request();
+        if !write_until_answered(&mut stream, &text, &self.stop) {
+            return;
+        }
+        self.record_sent(&id, Class::Alarm, true);
+        let time = deadline(Class::Alarm) + ANSWER_GRACE + MACHINE_SLACK;
+        let _ = stream.set_read_timeout(Some(time));
+        let (end, _) = read_answer(&mut stream);
+        self.record.request_ended(&id, end);
+    }
+
+    fn large_request(&mut self) -> (String, Vec<u8>) {
+        self.number += 1;
+        let id = format!("{}-{}", self.name, self.number);
+        let size = self.random.gen_range(70_000..700_000);
+        let chunked = self.random.gen_bool(0.5);
+        let framing = if chunked {
+            "Transfer-Encoding: chunked".to_owned()
+        } else {
+            format!("Content-Length: {size}")
+        };
+        let deadline = deadline(Class::Alarm).as_millis();
+        let mut text = format!(
+            "POST /api HTTP/1.1\r\nX-Class: alarm\r\nHost: a\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {deadline}\r\n{framing}\r\n\r\n"
+        );
+        if chunked {
+            text += &format!("{size:x}\r\n{}\r\n0\r\n\r\n", "a".repeat(size));
+        } else {
+            text += &"a".repeat(size);
+        }
+        (id, text.into_bytes())
+    }
+
     fn send_and_close(&mut self, mut stream: TcpStream, new_connection: bool) {
         let (id, class, text) = self.request();
         let trailing = match self.random.gen_range(0..4) {
@@ -201,6 +250,30 @@
     }
 }
 
+/// Writes all of `text`; returns false if an answer or the end of the connection comes first, or if it takes too long.
+fn write_until_answered(stream: &mut TcpStream, text: &[u8], stop: &AtomicBool) -> bool {
+    let (mut written, start) = (0, Instant::now());
+    if stream.set_nonblocking(true).is_err() {
+        return false;
+    }
+    while written < text.len() {
+        match stream.write(&text[written..]) {
+            Ok(n) => written += n,
+            Err(cause) if cause.kind() == ErrorKind::WouldBlock => {
+                let answered = stream.peek(&mut [0]).is_ok();
+                let over = stop.load(Ordering::Relaxed) || start.elapsed() > UPLOAD_TIMEOUT;
+                if answered || over {
+                    return false;
+                }
+                thread::sleep(UPLOAD_POLL_INTERVAL);
+            }
+            Err(cause) if cause.kind() == ErrorKind::Interrupted => {}
+            Err(_) => return false,
+        }
+    }
+    stream.set_nonblocking(false).is_ok()
+}
+
 /// Reads one answer; also returns whether the connection stays open.
 fn read_answer(stream: &mut TcpStream) -> (End, bool) {
     let (mut bytes, mut buffer) = (Vec::new(), [0; 8192]);
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -32,13 +32,15 @@
 const RECOVERY_LIMIT: Duration = Duration::from_secs(10);
 /// Idle connections opened by a connection flood, more than a proxy in this test can hold.
 const FLOOD_CONNECTIONS: usize = 220;
-const BEHAVIORS: [Behavior; 6] = [
+const BEHAVIORS: [Behavior; 8] = [
     Behavior::KeepAlive,
     Behavior::KeepAlive,
     Behavior::ConnectionPerRequest,
     Behavior::SlowWrite,
     Behavior::EarlyClose,
     Behavior::EarlyClose,
+    Behavior::Upload,
+    Behavior::Upload,
 ];
 
 /// The result of a run.
--- a/tests/soak/upstreams.rs
+++ b/tests/soak/upstreams.rs
@@ -26,6 +26,21 @@
     CloseAfter,
 }
 
+/// How an injector reads a large body.
+#[derive(Clone, Copy, Debug)]
+enum Reading {
+    Fast,
+    BytesPerSecond(f64),
+    StopsAt(usize),
+}
+
+/// Bodies of at least this size may be read slowly.
+const LARGE_BODY: usize = 64 << 10;
+/// Forwarded in place of a request with a large body.
+const EMPTY_REQUEST: &[u8] = b"POST /api HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+/// Receive buffer of the injectors, so that what they do not read shows at the proxy.
+const RECEIVE_BUFFER: usize = 16 << 10;
+
 /// A hanging attempt is closed after this time unless its proxy closes it first.
 const HANG_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -40,6 +55,7 @@
     /// Starts an injector that forwards to the stand-in at `to`.
     pub fn start(upstream: usize, to: SocketAddr, seed: u64, record: Arc<Record>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER).expect("a size");
         let address = listener.local_addr().expect("an address");
         let faults_off = Arc::new(AtomicBool::new(false));
         let random = Arc::new(Mutex::new(StdRng::seed_from_u64(seed)));
@@ -95,6 +111,18 @@
         }
     }
 
+    fn draw_reading(&self) -> Reading {
+        if self.faults_off.load(Ordering::Relaxed) {
+            return Reading::Fast;
+        }
+        let mut random = self.random.lock().expect("a generator");
+        match random.gen_range(0..3) {
+            0 => Reading::Fast,
+            1 => Reading::BytesPerSecond(random.gen_range(70e3..400e3)),
+            _ => Reading::StopsAt(random.gen_range(3_000..600_000)),
+        }
+    }
+
     fn serve(&self, mut proxy: TcpStream) {
         let _ = proxy.set_nodelay(true);
         let mut stand_in = None;
@@ -165,9 +193,11 @@
                 let mut lines = head.lines().filter_map(|l| l.split_once(": "));
                 lines.find(|(n, _)| *n == name).map(|(_, value)| value.to_owned())
             };
-            let length = header("content-length").map_or(0, |n| n.parse().unwrap_or(0));
-            if bytes.len() < end + 4 + length {
-                continue;
+            let framing = (header("content-length"), header("transfer-encoding"));
+            let large = self.read_body(proxy, &mut bytes, end + 4, framing)?;
+            if large {
+                // The stand-in takes no large bodies.
+                bytes = EMPTY_REQUEST.to_vec();
             }
             let forwarded_deadline =
                 header("x-deadline-ms").and_then(|ms| ms.parse().ok()).unwrap_or(u64::MAX);
@@ -181,6 +211,42 @@
         }
     }
 
+    /// Reads the rest of a body that begins at `start`, and returns whether it is a large one; `None` if the connection
+    /// ends first.
+    fn read_body(
+        &self,
+        proxy: &mut TcpStream,
+        bytes: &mut Vec<u8>,
+        start: usize,
+        (length, coding): (Option<String>, Option<String>),
+    ) -> Option<bool> {
+        let length = length.map_or(0, |n| n.parse().unwrap_or(0));
+        let complete = |bytes: &[u8]| match coding {
+            Some(_) => bytes.ends_with(b"0\r\n\r\n"),
+            None => bytes.len() >= start + length,
+        };
+        let large = coding.is_some() || length >= LARGE_BODY;
+        let reading = if large { self.draw_reading() } else { Reading::Fast };
+        let (from, mut buffer) = (Instant::now(), [0; 4 << 10]);
+        while !complete(bytes) {
+            let read = bytes.len() - start;
+            match reading {
+                Reading::StopsAt(at) if read >= at => {
+                    thread::sleep(HANG_TIMEOUT);
+                    return None;
+                }
+                Reading::BytesPerSecond(pace) => {
+                    let due = from + Duration::from_secs_f64(read as f64 / pace);
+                    thread::sleep(due.saturating_duration_since(Instant::now()));
+                }
+                _ => {}
+            }
+            let n = proxy.read(&mut buffer).ok().filter(|n| *n > 0)?;
+            bytes.extend_from_slice(&buffer[..n]);
+        }
+        Some(large)
+    }
+
     /// Forwards a request to the stand-in; `None` if it does not answer.
     fn forward(&self, stand_in: &mut Option<TcpStream>, request: &[u8]) -> Option<Vec<u8>> {
         if stand_in.is_none() {
