--- a/src/bin/hollowpaddle/bodies/last_byte.rs
+++ b/src/bin/hollowpaddle/bodies/last_byte.rs
@@ -91,9 +91,9 @@
         self.ends = ends;
     }
 
-    /// Whether bytes were received or passed on after `time`.
-    pub(super) fn has_moved_since(&self, time: Instant) -> bool {
-        self.moved_at > time
+    /// For how long nothing was received or passed on.
+    pub(super) fn stalled_for(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.moved_at)
     }
 
     /// When the last byte was written, if the newest bytes received are the last ones, for a request with `time` after it.
--- a/src/bin/hollowpaddle/bodies/mod.rs
+++ b/src/bin/hollowpaddle/bodies/mod.rs
@@ -1,15 +1,18 @@
 //! Request and response bodies: small ones are buffered completely, larger ones are streamed at the receiver's pace.
 
 mod last_byte;
+mod pace;
 mod read_ahead;
 mod request;
 mod response;
+mod upstream_request;
 
 use bytes::Bytes;
 
 use crate::memory::Reservation;
-pub use request::{BodyProgress, Payload, RequestBody, UpstreamRequestBody};
+pub use request::RequestBody;
 pub use response::{ResponseBody, UpstreamResponse};
+pub use upstream_request::{BodyProgress, Payload, UpstreamRequestBody};
 
 /// A request or response body up to this size is buffered completely; of a larger one, only its first part.
 pub const MAX_BUFFERED_BYTES: usize = 64 << 10;
--- a/src/bin/hollowpaddle/bodies/request.rs
+++ b/src/bin/hollowpaddle/bodies/request.rs
@@ -1,4 +1,4 @@
-//! Request bodies: received from a client at a minimum rate, and sent to upstreams.
+//! Request bodies as they are received from a client.
 
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
@@ -8,21 +8,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Incoming};
 use tokio::sync::Notify;
-use tokio::time::{Instant, Sleep, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::last_byte::BodyArrival;
+use super::pace::Pace;
 use super::read_ahead::ReadAhead;
 use super::{BodyBuffer, BodyError, MAX_REQUEST_BODY_BYTES};
 use crate::client_connection::ClientInput;
 use crate::memory::{BufferMemory, PieceSlot, Reservation};
 
-/// Minimum rate at which a client must send a body. Clients at 64 kB/s must be served; the lower limit allows for
-/// uneven arrival.
-const MIN_BYTES_PER_SECOND: f64 = 48_000.0;
-/// Upper limit of the waiting time that a client earns by sending faster than the minimum rate.
-const MAX_WAIT: Duration = Duration::from_millis(2500);
 /// How long the rest of a body is read after its request was answered, if it keeps the minimum rate.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(20);
 /// How often the arrival of a body is observed while its upstream does not read it.
@@ -41,33 +37,6 @@
 /// Limit of one run of reading ahead.
 const READ_AHEAD_TIMEOUT: Duration = Duration::from_millis(25);
 
-/// Enforces the minimum rate of a request body. Only time spent waiting for the client counts: a body that is not
-/// read because no upstream takes it is not late.
-struct Pace {
-    left: Duration,
-    since: Option<Instant>,
-    timer: Pin<Box<Sleep>>,
-}
-
-impl Pace {
-    fn record_received(&mut self, bytes: usize) {
-        if let Some(since) = self.since.take() {
-            self.left = self.left.saturating_sub(since.elapsed());
-        }
-        let earned = Duration::from_secs_f64(bytes as f64 / MIN_BYTES_PER_SECOND);
-        self.left = (self.left + earned).min(MAX_WAIT);
-    }
-
-    fn poll_expired(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        if self.since.is_none() {
-            let now = Instant::now();
-            self.since = Some(now);
-            self.timer.as_mut().reset(now + self.left);
-        }
-        self.timer.as_mut().poll(cx)
-    }
-}
-
 /// The body of a request as received from its client.
 pub struct RequestBody {
     body: RefCell<Incoming>,
@@ -105,7 +74,6 @@
         patience: Duration,
         memory: BufferMemory,
     ) -> Rc<Self> {
-        let timer = Box::pin(sleep(patience));
         let size = body.size_hint().exact();
         Rc::new(Self {
             input_start: input.read(),
@@ -119,7 +87,7 @@
             held_back: Cell::new(false),
             reading_ahead: Cell::new(false),
             sender: RefCell::default(),
-            pace: RefCell::new(Pace { left: patience, since: None, timer }),
+            pace: RefCell::new(Pace::new(patience)),
             read: Cell::new(0),
             passed_on: Cell::new(0),
             changed: Notify::new(),
@@ -185,7 +153,7 @@
     }
 
     /// The next part for an upstream; `None` at the end of the body.
-    fn poll_next(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
+    pub(super) fn poll_next(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
         let ahead = self.ahead.borrow_mut().pop();
         let next = match ahead {
             Some(block) => Some(Ok(block)),
@@ -215,7 +183,7 @@
             let taken = self.passed_on.get() > passed_on;
             let waiting = self.is_waiting_for_client();
             self.held_back.set(!waiting && (self.held_back.get() || !taken));
-            let stalled = !self.arrival.borrow().has_moved_since(Instant::now() - MAX_STALL);
+            let stalled = self.arrival.borrow().stalled_for(Instant::now()) > MAX_STALL;
             if !waiting && !taken && !stalled {
                 self.read_ahead(self.max_read_ahead(start.elapsed(), time)).await;
             }
@@ -313,13 +281,23 @@
         self.ended.get().is_none()
     }
 
+    /// Records that a part was passed on without being buffered.
+    pub(super) fn mark_consumed(&self) {
+        self.consumed.set(true);
+    }
+
+    /// The place for the piece that is being sent to an upstream.
+    pub(super) fn slot(&self) -> &PieceSlot {
+        &self.slot
+    }
+
     pub fn is_consumed(&self) -> bool {
         self.consumed.get()
     }
 
     /// Whether the reader is waiting for the client to send more.
     pub fn is_waiting_for_client(&self) -> bool {
-        self.pace.borrow().since.is_some()
+        self.pace.borrow().is_waiting()
     }
 
     /// Waits until the body has ended or failed, without reading it; another task reads it.
@@ -340,105 +318,3 @@
         let _ = timeout(DRAIN_TIMEOUT, rest).await;
     }
 }
-
-/// How many bytes an attempt must send for its request to be complete; a lower bound while the body is streamed.
-#[derive(Clone, Default)]
-pub struct BodyProgress {
-    pub bytes: Rc<Cell<u64>>,
-    /// Whether `bytes` is final; otherwise more of the body may follow.
-    pub all: Rc<Cell<bool>>,
-}
-
-/// The request body of one attempt.
-pub struct UpstreamRequestBody {
-    kept: Bytes,
-    rest: Option<Rc<RequestBody>>,
-    /// The number of bytes left to send, if the complete body's size is known.
-    left: Option<u64>,
-    due: BodyProgress,
-    /// Called once the last byte of a streamed body was handed to hyper.
-    on_complete: Box<dyn Fn()>,
-}
-
-impl UpstreamRequestBody {
-    pub fn new(payload: &Payload, due: BodyProgress, on_complete: Box<dyn Fn()>) -> Self {
-        due.bytes.set(due.bytes.get() + payload.kept.len() as u64);
-        due.all.set(payload.rest.is_none());
-        let left =
-            if payload.rest.is_some() { payload.length } else { Some(payload.kept.len() as u64) };
-        Self { kept: payload.kept.clone(), rest: payload.rest.clone(), left, due, on_complete }
-    }
-
-    fn emit(&mut self, data: Bytes) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if let Some(left) = &mut self.left {
-            *left = left.saturating_sub(data.len() as u64);
-        }
-        Poll::Ready(Some(Ok(Frame::data(data))))
-    }
-
-    fn mark_complete(&self) {
-        if !self.due.all.replace(true) {
-            (self.on_complete)();
-        }
-    }
-}
-
-impl Body for UpstreamRequestBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if !self.kept.is_empty() {
-            let kept = std::mem::take(&mut self.kept);
-            return self.emit(kept);
-        }
-        let Some(rest) = self.rest.clone() else { return Poll::Ready(None) };
-        ready!(rest.slot.poll_free(cx));
-        let piece = ready!(rest.poll_next(cx));
-        rest.consumed.set(true);
-        match piece {
-            None => {
-                self.mark_complete();
-                Poll::Ready(None)
-            }
-            Some(Err(why)) => Poll::Ready(Some(Err(why))),
-            Some(Ok(data)) => {
-                self.due.bytes.set(self.due.bytes.get() + data.len() as u64);
-                // With a known size hyper does not poll again for the end of the body.
-                if rest.is_passed_on() {
-                    self.mark_complete();
-                }
-                self.emit(rest.slot.hold(data))
-            }
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.kept.is_empty() && self.rest.is_none()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.left.map_or(SizeHint::default(), SizeHint::with_exact)
-    }
-}
-
-/// The body of a request, shared by its attempts.
-#[derive(Default)]
-pub struct Payload {
-    /// The buffered part: the complete body, or its beginning.
-    pub kept: Bytes,
-    /// The part that is streamed, if any.
-    pub rest: Option<Rc<RequestBody>>,
-    /// The size of the complete body, if known.
-    pub length: Option<u64>,
-}
-
-impl Payload {
-    /// Whether part of it was streamed, so that another attempt cannot send it.
-    pub fn is_consumed(&self) -> bool {
-        self.rest.as_ref().is_some_and(|r| r.is_consumed())
-    }
-}
