--- a/src/bin/hollowpaddle/succession.rs
+++ b/src/bin/hollowpaddle/succession.rs
@@ -17,6 +17,9 @@
 /// Size of the kernel's send and receive buffers of a connection. With auto-tuning the kernel may buffer megabytes for
 /// one slow reader: that takes memory, and no progress is visible until most of it was sent.
 pub const SOCKET_BUFFER_BYTES: u32 = 128 << 10;
+/// Size of the kernel's receive buffer of a client's connection. What a client has written beyond it is unseen, and the client
+/// learns of free room in steps of a part of it; a close is seen only once all bytes before it are received.
+const CLIENT_RECEIVE_BUFFER_BYTES: usize = 32 << 10;
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: i32 = 1024;
 
@@ -28,7 +31,7 @@
     socket.set_nonblocking(true)?;
     // Accepted connections inherit the buffer sizes.
     socket.set_send_buffer_size(SOCKET_BUFFER_BYTES as usize)?;
-    socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES as usize)?;
+    socket.set_recv_buffer_size(CLIENT_RECEIVE_BUFFER_BYTES)?;
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
     TcpListener::from_std(socket.into())
--- a/src/socket/mod.rs
+++ b/src/socket/mod.rs
@@ -142,6 +142,14 @@
 }
 
 impl Peer {
+    /// Sets the size of the kernel's receive buffer. It should only grow: a peer that is told of less room stalls.
+    pub fn set_receive_buffer(&self, bytes: usize) {
+        if let Some(stream) = self.0.upgrade() {
+            // A kernel that refuses keeps the smaller buffer.
+            let _ = SockRef::from(&*stream).set_recv_buffer_size(bytes);
+        }
+    }
+
     /// The number of bytes received and not read; 0 if the kernel does not tell.
     pub fn unread_bytes(&self) -> u64 {
         let Some(stream) = self.0.upgrade() else { return 0 };
