A stall after an attempt's first write is not counted as a late attempt

Cause: the guard read the clock after the write. A process that is stopped in or after the write (the receiver's wake-up preempts it there) took that time for time between its check of the client and the attempt. What is counted is logged with its facts and the time of the write. The shim has a fault 'stall': writes to sockets return 200 ms late.

--- a/src/bin/hollowpaddle/guard.rs
+++ b/src/bin/hollowpaddle/guard.rs
@@ -103,20 +103,28 @@
         self.denial.get()
     }
 
-    /// Called after the first bytes were written; counts the rules that were broken by then.
-    pub fn record_start(&self) {
-        let now = Instant::now();
+    /// Called after the first bytes were written, by a write that began at `write_start`; counts the rules that were broken
+    /// when it began. A process that is stopped after that has started the attempt before.
+    pub fn record_start(&self, write_start: Instant) {
         let seen = self.client_seen.get();
-        let since_check = seen.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let since_check =
+            seen.map_or(Duration::ZERO, |at| write_start.saturating_duration_since(at));
         let facts = SentFacts {
             guarded: seen.is_some(),
             since_check,
             client_closed: since_check > permit::AFTER_CLOSE && self.forward.client.has_closed(),
             upstream_closed: self.target.closed.get(),
-            past_window: now.saturating_duration_since(self.latest_start),
-            deadline_excess: self.deadline_excess(now),
+            past_window: write_start.saturating_duration_since(self.latest_start),
+            deadline_excess: self.deadline_excess(write_start),
         };
         for rule in permit::broken(&facts) {
+            let write_time = write_start.elapsed();
+            tracing::warn!(
+                request = self.forward.id(),
+                ?facts,
+                ?write_time,
+                "attempt broke a rule"
+            );
             self.violations.count(rule, self.forward.id());
         }
     }
--- a/src/bin/hollowpaddle/upstreams/connection.rs
+++ b/src/bin/hollowpaddle/upstreams/connection.rs
@@ -49,6 +49,7 @@
         if let Some(guard) = &guard {
             guard.check().map_err(std::io::Error::other)?;
         }
+        let write_start = Instant::now();
         let Poll::Ready(written) = write() else {
             self.guard.replace(guard);
             return Poll::Pending;
@@ -56,7 +57,7 @@
         let written = written?;
         if let Some(guard) = guard {
             self.permitted.set(true);
-            guard.record_start();
+            guard.record_start(write_start);
         }
         if !self.permitted.get() {
             AttemptGuard::record_unguarded(&self.violations);
--- a/src/invariants/permit.rs
+++ b/src/invariants/permit.rs
@@ -113,14 +113,14 @@
     }
 }
 
-/// Facts right after the first byte of an attempt was written to the socket.
+/// Facts about an attempt as the write of its first byte began.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SentFacts {
     /// Whether [`send`] was checked before the write.
     pub guarded: bool,
-    /// Time since the client's connection was last known to be open.
+    /// How long before the write the client's connection was last known to be open.
     pub since_check: Duration,
-    /// The client has closed its connection.
+    /// The client has closed its connection, before or during the write.
     pub client_closed: bool,
     /// The upstream is draining or no longer on the list.
     pub upstream_closed: bool,
--- a/tests/crossings/mod.rs
+++ b/tests/crossings/mod.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod left_clients;
+mod stalls;
 mod system_calls;
 mod takeovers;
 mod unfinished_answers;
--- a/tests/shim/faults.c
+++ b/tests/shim/faults.c
@@ -1,9 +1,11 @@
 /* LD_PRELOAD library that makes system calls fail with errors documented for Linux, or steps the wall clock.
  *
- * FAULTS       comma-separated kinds: accept, connect, socket, wait, interrupt, short, clock, disk, sync
+ * FAULTS       comma-separated kinds: accept, connect, socket, wait, interrupt, short, clock, disk, sync, stall
  * FAULT_RATE   one call in this many fails (default 100)
  * FAULT_SEED   seed that selects the failing calls (default 1)
  * FAULT_AFTER  milliseconds from process start until calls begin to fail (default 0)
+ *
+ * With stall, writes to sockets succeed and return STALL_MS later, as when the process is stopped (SIGSTOP) in the call.
  */
 #define _GNU_SOURCE
 #include <dlfcn.h>
@@ -20,15 +22,16 @@
 #include <time.h>
 #include <unistd.h>
 
-enum kind { ACCEPT = 1, CONNECT = 2, SOCKET = 4, WAIT = 8, INTERRUPT = 16, SHORT = 32, CLOCK = 64, DISK = 128, SYNC = 256 };
+enum kind { ACCEPT = 1, CONNECT = 2, SOCKET = 4, WAIT = 8, INTERRUPT = 16, SHORT = 32, CLOCK = 64, DISK = 128, SYNC = 256, STALL = 512 };
 
 #define MIN_SHORT_LENGTH 1
 #define SHORT_LENGTH_RANGE 7
 #define CLOCK_STEP_S 3600
+#define STALL_MS 200
 
 static const struct { const char *name; int kind; } KINDS[] = {
     {"accept", ACCEPT}, {"connect", CONNECT}, {"socket", SOCKET}, {"wait", WAIT},
-    {"interrupt", INTERRUPT}, {"short", SHORT}, {"clock", CLOCK}, {"disk", DISK | SYNC}, {"sync", SYNC},
+    {"interrupt", INTERRUPT}, {"short", SHORT}, {"clock", CLOCK}, {"disk", DISK | SYNC}, {"sync", SYNC}, {"stall", STALL},
 };
 
 static int kinds;
@@ -112,10 +115,16 @@
     return REAL(recv)(fd, to, n, flags);
 }
 
+static ssize_t stall_after(ssize_t result) {
+    const struct timespec stall = {.tv_nsec = STALL_MS * 1000000L};
+    if (should_fail(STALL)) nanosleep(&stall, NULL);
+    return result;
+}
+
 ssize_t send(int fd, const void *from, size_t n, int flags) {
     if (should_fail(INTERRUPT)) return FAIL(EINTR);
     if (n > 0 && should_fail(SHORT)) n = short_length(n);
-    return REAL(send)(fd, from, n, flags);
+    return stall_after(REAL(send)(fd, from, n, flags));
 }
 
 static int is_socket(int fd) {
@@ -137,6 +146,7 @@
             first.iov_len = short_length(first.iov_len);
             return REAL(writev)(fd, &first, 1);
         }
+        return stall_after(REAL(writev)(fd, from, n));
     }
     return REAL(writev)(fd, from, n);
 }
