What waited in the backlog since a stall has its time from the stall's beginning

Trace: StallProxy(3, 297ms) at 1.372 s, FloodConnections(3) at 1.407 s; the request was sent at 216.616, the process woke at 216.861 ('process stalled ... late=285.50126ms'), found its table full, and let the request in at 217.5, with 297 ms to go where its client had 68. Change: it counts from the beginning of a stall that has just ended, as requests that are read then do.

--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -206,10 +206,11 @@
         }
     }
 
-    /// Records that connections may be waiting in the backlog, and makes idle connections recheck their timeouts.
+    /// Records that connections may be waiting in the backlog, since the beginning of a stall that ended just now, and makes
+    /// idle connections recheck their timeouts.
     fn mark_backlog_waiting(&self) {
         if self.backlog_since.get().is_none() {
-            self.backlog_since.set(Some(Instant::now()));
+            self.backlog_since.set(Some(self.engine.earliest_arrival()));
             self.table_full.notify_waiters();
         }
     }
--- a/tests/crossings/stalls.rs
+++ b/tests/crossings/stalls.rs
@@ -3,6 +3,10 @@
 use super::*;
 use crate::shim::faults;
 
+/// How long the process is stopped while a request arrives.
+const STALL_MS: u64 = 300;
+/// The deadline sent to an upstream may exceed the client's remaining time by at most this much (STANDING).
+const DEADLINE_SLACK_MS: u64 = 150;
 /// How long a write of a process with the fault `stall` takes, and then some.
 const WRITE_STALL_MS: u64 = 300;
 
@@ -23,3 +27,24 @@
     let count = metrics.lines().find_map(|line| line.strip_prefix(name));
     assert_eq!(count.map(str::trim), Some("0"));
 }
+
+/// Guards against a request being given more time than its client has left, after a stall in which the connection table
+/// filled: what waited in the backlog had arrived during the stall.
+#[test]
+fn request_that_arrived_in_a_stall_before_a_full_table_has_its_clients_deadline() {
+    let upstream = Upstream::start(|_| ok("ok"));
+    let node = start_with_few_descriptors(members(&[&upstream]));
+    node.signal("STOP");
+    let silent: Vec<Client> = (0..CLIENTS + 5).map(|_| node.client()).collect();
+    let mut client = node.client();
+    let sent = Instant::now();
+    client.send(&read("r1", 2000));
+    pause(STALL_MS);
+    node.signal("CONT");
+    let (_, request) = upstream.request();
+    let left = 2000_u64.saturating_sub(sent.elapsed().as_millis() as u64);
+    let told: u64 = request.header("x-deadline-ms").parse().expect("a number");
+    assert!(told <= left + DEADLINE_SLACK_MS, "{told} ms told, {left} ms left");
+    assert_eq!(client.answer().map(|answer| answer.status()), Some(200));
+    drop(silent);
+}
