The end of a chunked body counts from when its client's kernel had room for it

Cause: where the size is unknown, only the last arrival was looked at. With a declared size the time runs from when at most 64 KiB were missing. Change: the same for chunked bodies, from the arrivals of the last 64 KiB, once their end is seen.

--- a/src/bin/hollowpaddle/bodies/last_byte.rs
+++ b/src/bin/hollowpaddle/bodies/last_byte.rs
@@ -4,6 +4,7 @@
 //! seconds in the kernel of either side, so the time cannot start when it is read. What this machine's kernel holds is known;
 //! what the client's kernel holds shows only as more of it arrives.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -14,6 +15,8 @@
 /// The end of a body that a client's kernel holds unseen, for as long as it may take to arrive.
 const HIDDEN_END_BYTES: u64 = 64 << 10;
 const HIDDEN_END_TIME: Duration = Duration::from_millis(150);
+/// The most arrivals that are remembered of the newest [`HIDDEN_END_BYTES`].
+const MAX_ARRIVALS: usize = 64;
 /// By how much the last byte of a body may have been written before it arrived, if its client's kernel held more than that: at
 /// most, and as a part of the request's time.
 const UNSEEN_TIME: Duration = Duration::from_millis(600);
@@ -37,6 +40,8 @@
     moved_at: Instant,
     /// Since when the rest may be in the client's kernel, if it is small.
     end_hidden_since: Option<Instant>,
+    /// Total numbers of bytes received and when, oldest first, of what was hidden and may turn out to be the end.
+    arrivals: VecDeque<(u64, Instant)>,
     /// Whether the newest bytes may have been hidden in the client's kernel before.
     was_hidden: bool,
     /// Whether the bytes received end as a body of unknown size does.
@@ -54,6 +59,7 @@
             passed_on: 0,
             moved_at: now,
             end_hidden_since: None,
+            arrivals: VecDeque::new(),
             was_hidden: false,
             ends: false,
         }
@@ -80,15 +86,33 @@
         }
         if !hidden {
             self.end_hidden_since = None;
+            self.arrivals.clear();
+        } else if self.size.is_none() {
+            self.remember_arrival(grown, now);
         } else if self.missing().is_some_and(|bytes| (1..=HIDDEN_END_BYTES).contains(&bytes)) {
             self.end_hidden_since.get_or_insert(now);
         }
         grown
     }
 
+    /// Remembers an arrival of a body of unknown size: its end may be close behind.
+    fn remember_arrival(&mut self, grown: bool, now: Instant) {
+        if !grown && !self.arrivals.is_empty() {
+            return;
+        }
+        self.end_hidden_since = None;
+        self.arrivals.push_back((self.received, now));
+        let is_far = |(bytes, _): &(u64, Instant)| self.received - bytes > HIDDEN_END_BYTES;
+        while self.arrivals.len() > MAX_ARRIVALS || self.arrivals.front().is_some_and(is_far) {
+            self.arrivals.pop_front();
+        }
+    }
+
     /// Records whether the bytes received so far end as a body of unknown size does.
     pub(super) fn record_end(&mut self, ends: bool) {
         self.ends = ends;
+        let first = self.arrivals.front().map(|(_, at)| *at);
+        self.end_hidden_since = first.filter(|at| ends && *at < self.received_at);
     }
 
     /// For how long nothing was received or passed on.
--- a/src/bin/hollowpaddle/bodies/last_byte/tests.rs
+++ b/src/bin/hollowpaddle/bodies/last_byte/tests.rs
@@ -56,6 +56,25 @@
     assert_eq!(arrival.due(short), Some(start + 3 * SECOND + MIN_STALL_TIME));
 }
 
+/// Guards against the end of a chunked body counting from when the upstream made room for it: its client wrote it as the
+/// bytes before it left its kernel.
+#[test]
+fn end_of_a_body_of_unknown_size_was_written_when_the_clients_kernel_had_room_for_it() {
+    let start = Instant::now();
+    let mut arrival = BodyArrival::new(None, start);
+    arrival.record((212_860, 32_768), true, start + Duration::from_millis(500));
+    arrival.record((278_396, 65_536), true, start + Duration::from_millis(600));
+    arrival.record((294_780, 65_536), true, start + Duration::from_millis(680));
+    arrival.record((294_780, 98_304), true, start + Duration::from_millis(840));
+    arrival.record((303_896, 131_072), true, start + Duration::from_millis(1470));
+    arrival.record_end(true);
+    let written = start + Duration::from_millis(600) + HIDDEN_END_TIME;
+    assert_eq!(arrival.arrived_at(TIME), written);
+    assert_eq!(arrival.due(TIME), Some(written + TIME));
+    arrival.record((400_000, 131_072), true, start + 2 * SECOND);
+    assert_eq!(arrival.due(TIME), Some(start + 4 * SECOND), "it was not the end");
+}
+
 #[test]
 fn stalled_body_is_not_due_while_its_client_cannot_have_written_all_of_it() {
     let start = Instant::now();
--- a/src/bin/hollowpaddle/bodies/request.rs
+++ b/src/bin/hollowpaddle/bodies/request.rs
@@ -203,8 +203,9 @@
         let counts = (self.bytes_received(), self.passed_on.get());
         let hidden = self.held_back.get();
         let grown = self.arrival.borrow_mut().record(counts, hidden, Instant::now());
-        if grown && self.is_coming() && self.size.is_none() {
-            self.arrival.borrow_mut().record_end(self.input.ends_with_empty_line());
+        if self.size.is_none() && (grown || !self.is_coming()) {
+            let ends = !self.is_coming() || self.input.ends_with_empty_line();
+            self.arrival.borrow_mut().record_end(ends);
         }
     }
 
