What arrives behind a request in flight is read, so that its client's close is seen

Cause: hyper does not read behind a request in flight, the kernel receives what its buffer holds, and the FIN waits in the client's kernel behind the rest: POLLRDHUP can't tell of it. A larger receive buffer, as set before, moves the bound to some 250 kB. Change: while all of the request in flight was received and 16 KiB or more are unread, they are read into memory reserved for it, up to a quarter of that of large pieces for one connection, and given to hyper when it reads on. The queue of blocks with reserved memory is shared with the reading ahead of bodies and stands in memory/block_queue.rs. Beyond the memory and the kernel's buffer a close is still unseen.

--- a/src/bin/hollowpaddle/bodies/request.rs
+++ b/src/bin/hollowpaddle/bodies/request.rs
@@ -14,10 +14,9 @@
 
 use super::last_byte::BodyArrival;
 use super::pace::Pace;
-use super::read_ahead::ReadAhead;
 use super::{BodyBuffer, BodyError, MAX_REQUEST_BODY_BYTES};
 use crate::client_connection::ClientInput;
-use crate::memory::{BufferMemory, PieceSlot, Reservation};
+use crate::memory::{BlockQueue, BufferMemory, PieceSlot, Reservation};
 
 /// How long the rest of a body is read after its request was answered, if it keeps the minimum rate.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(20);
@@ -27,6 +26,8 @@
 /// earlier, so that less is read for an upstream that may take a large body in time.
 const MAX_READ_AHEAD_BYTES: usize = 512 << 10;
 const MAX_SLOW_READ_AHEAD_BYTES: usize = 1 << 20;
+/// What is read ahead of one body is at most this part of the memory.
+const READ_AHEAD_SHARE_DIVISOR: usize = 16;
 /// An upstream is slow if it takes less than the buffers of both kernels hold in the request's time; judged after a while,
 /// and without what these buffers take at once.
 const KERNEL_BUFFER_BYTES: u64 = 200 << 10;
@@ -51,7 +52,7 @@
     arrival: RefCell<BodyArrival>,
     /// Whether its upstream has been slower than the client since the client was last waited for.
     held_back: Cell<bool>,
-    ahead: RefCell<ReadAhead>,
+    ahead: RefCell<BlockQueue>,
     reading_ahead: Cell<bool>,
     /// The upstream connection that waits for more of the body.
     sender: RefCell<Option<Waker>>,
@@ -83,7 +84,7 @@
             arrival: RefCell::new(BodyArrival::new(size, Instant::now())),
             ended: Cell::new(body.is_end_stream().then_some(Ok(()))),
             body: RefCell::new(body),
-            ahead: RefCell::new(ReadAhead::new(memory)),
+            ahead: RefCell::new(BlockQueue::new(memory, READ_AHEAD_SHARE_DIVISOR)),
             held_back: Cell::new(false),
             reading_ahead: Cell::new(false),
             sender: RefCell::default(),
--- a/src/bin/hollowpaddle/client_connection.rs
+++ b/src/bin/hollowpaddle/client_connection.rs
@@ -1,13 +1,15 @@
 //! The state and the timeouts of a client connection.
 
-use std::cell::Cell;
+mod read_behind;
+
+use std::cell::{Cell, RefCell};
 use std::future::{Future, poll_fn};
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use crate::memory::{HeadGate, PieceReader};
+use crate::memory::{BufferMemory, HeadGate, PieceReader};
 use hollowpaddle::invariants::permit::{self, CloseFacts};
 use hollowpaddle::socket::{Peer, Socket, Tail, Unread};
 use hyper::rt::{Read, ReadBufCursor, Write};
@@ -16,6 +18,8 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
+use read_behind::ReadBehind;
+
 /// How long a connection may be idle between two requests: with ample room in the connection table, and with little.
 /// Without these limits, peers that sent nothing or only part of a request filled the table, and other clients waited
 /// in the backlog past their deadlines.
@@ -85,6 +89,9 @@
     /// The number of bytes that hyper has read, and the last of them.
     bytes_read: Cell<u64>,
     tail: Cell<Tail>,
+    /// Whether all of the request in flight was received, so that what arrives now belongs to further ones.
+    request_received: Cell<bool>,
+    read_behind: RefCell<ReadBehind>,
     /// Since when the connection may have waited in the backlog, or the head of its request for memory; applies to its next
     /// request.
     waited_since: Cell<Option<Instant>>,
@@ -95,8 +102,9 @@
 }
 
 impl ClientConnection {
-    /// A newly accepted connection; it may have waited in the backlog since `backlog_since`.
-    pub fn new(backlog_since: Option<Instant>) -> Self {
+    /// A newly accepted connection; it may have waited in the backlog since `backlog_since`. What is read before it is needed
+    /// is reserved from `memory`.
+    pub fn new(backlog_since: Option<Instant>, memory: BufferMemory) -> Self {
         Self {
             waited_since: Cell::new(backlog_since),
             memory_wait_since: Cell::new(None),
@@ -107,12 +115,15 @@
             reading: Cell::new(true),
             bytes_read: Cell::new(0),
             tail: Cell::default(),
+            request_received: Cell::new(false),
+            read_behind: RefCell::new(ReadBehind::new(memory)),
         }
     }
 
     /// Marks a request as in flight until the returned guard is dropped.
     pub fn begin_request(self: &Rc<Self>) -> RequestGuard {
         self.has_served.set(true);
+        self.request_received.set(false);
         let began = match self.state.replace(State::Served) {
             State::Silent(since) | State::Asking(since) => since,
             // Pipelined: its head was read together with the request before.
@@ -154,7 +165,7 @@
                 let unread = CloseFacts {
                     client_closed: socket.peer_closed(),
                     unanswered: false,
-                    unread: has_unread_bytes(socket),
+                    unread: self.has_unread_bytes(socket),
                 };
                 if rechecks < MAX_RECHECKS && permit::close(&unread).is_err() {
                     rechecks += 1;
@@ -192,13 +203,20 @@
             unanswered: has_served && matches!(self.state.get(), State::Asking(_)),
             unread: has_served
                 && matches!(self.state.get(), State::Idle(_))
-                && has_unread_bytes(socket),
+                && self.has_unread_bytes(socket),
         }
     }
 
+    /// Whether hyper has not taken all received bytes. Without this check, a connection was closed on a request that arrived
+    /// just as its idle timeout expired or during a process stall.
+    fn has_unread_bytes(&self, socket: &Socket) -> bool {
+        !self.read_behind.borrow().is_empty() || socket.unread() == Unread::Bytes
+    }
+
     /// Waits until the peer has closed its end while a request is in flight and hyper does not read. Must be polled by
     /// the task that serves the connection, after the connection itself.
     pub async fn abandoned(&self, socket: &Socket) {
+        let mut socket = socket.clone();
         let mut check = pin!(sleep(PEER_CLOSE_CHECK_INTERVAL));
         let mut closed = false;
         poll_fn(|cx| {
@@ -208,6 +226,9 @@
                     return Poll::Pending;
                 }
                 ready!(check.as_mut().poll(cx));
+                if self.request_received.get() {
+                    self.read_behind.borrow_mut().read(&mut socket, cx);
+                }
                 check.as_mut().reset(Instant::now() + PEER_CLOSE_CHECK_INTERVAL);
                 // Requires two checks in a row: if hyper has read the end, as of a truncated body, it has answered by
                 // the second.
@@ -267,13 +288,15 @@
 
     /// The number of bytes received, read or not.
     pub fn received(&self) -> u64 {
-        self.read() + self.peer.unread_bytes()
+        let behind = self.connection.read_behind.borrow().len();
+        self.read() + behind as u64 + self.peer.unread_bytes()
     }
 
     /// Whether the last bytes received are an empty line, with which chunked bodies end.
     pub fn ends_with_empty_line(&self) -> bool {
         let unread = self.peer.unread_tail();
-        unread.unwrap_or(self.connection.tail.get()).is_empty_line()
+        let received = unread.or_else(|| self.connection.read_behind.borrow().tail());
+        received.unwrap_or(self.connection.tail.get()).is_empty_line()
     }
 }
 
@@ -290,6 +313,11 @@
         self.waited_since.map_or(read, |since| since.min(read))
     }
 
+    /// Records that all of the request was received.
+    pub fn record_received(&self) {
+        self.connection.request_received.set(true);
+    }
+
     /// The input of the request's connection, whose peer is `peer`.
     pub fn input(&self, peer: Peer) -> ClientInput {
         ClientInput { connection: self.connection.clone(), peer }
@@ -308,12 +336,6 @@
     }
 }
 
-/// Whether received bytes are unread. Without this check, a connection was closed on a request that arrived just as its
-/// idle timeout expired or during a process stall.
-fn has_unread_bytes(socket: &Socket) -> bool {
-    socket.unread() == Unread::Bytes
-}
-
 /// Shuts down the write side and reads for a short time before the close (RFC 9112, 9.6). Closing a connection with
 /// unread bytes resets it, and the peer loses what it has not yet read of the last response.
 pub async fn lingering_close(mut socket: Socket, is_crowded: bool) {
@@ -349,6 +371,28 @@
     }
 }
 
+impl ObservedStream {
+    /// Gives hyper bytes that were read before; returns their number.
+    fn read_from_behind(&mut self, buffer: &mut ReadBufCursor<'_>) -> usize {
+        let most = self.reader.max_piece_bytes().min(buffer.remaining());
+        let bytes = self.connection.read_behind.borrow_mut().take(most);
+        self.reader.record_read(&bytes);
+        buffer.put_slice(&bytes);
+        bytes.len()
+    }
+
+    fn poll_read_socket(
+        &mut self,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBufCursor<'_>,
+    ) -> Poll<std::io::Result<usize>> {
+        match self.read_from_behind(buffer) {
+            0 => self.reader.poll_read(self.inner.inner_mut(), cx, buffer),
+            bytes => Poll::Ready(Ok(bytes)),
+        }
+    }
+}
+
 impl Read for ObservedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -356,8 +400,7 @@
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<std::io::Result<()>> {
         ready!(self.poll_head_gate(cx));
-        let stream = &mut *self;
-        let read = stream.reader.poll_read(stream.inner.inner_mut(), cx, &mut buf);
+        let read = self.poll_read_socket(cx, &mut buf);
         self.connection.reading.set(read.is_pending());
         let bytes = ready!(read)?;
         self.connection.record_read(bytes, self.reader.tail());
--- a/src/bin/hollowpaddle/client_connection/tests.rs
+++ b/src/bin/hollowpaddle/client_connection/tests.rs
@@ -2,7 +2,7 @@
 
 #[test]
 fn a_client_that_still_reads_its_response_is_not_idle() {
-    let connection = Rc::new(ClientConnection::new(None));
+    let connection = Rc::new(ClientConnection::new(None, BufferMemory::new(0)));
     drop(connection.begin_request());
     let idle = connection.expires_at(Room::Scarce).expect("it idles");
     assert!(idle <= Instant::now() + IDLE_TIMEOUT_CROWDED);
@@ -23,7 +23,7 @@
 
 #[test]
 fn silent_connections_time_out_early_when_the_table_is_full() {
-    let connection = ClientConnection::new(None);
+    let connection = ClientConnection::new(None, BufferMemory::new(0));
     let by = |room| connection.expires_at(room).expect("it has a limit");
     assert_eq!(by(Room::Scarce), by(Room::Plenty), "there is room");
     assert!(by(Room::Full) <= Instant::now() + SILENT_TIMEOUT_FULL);
--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -48,9 +48,6 @@
 
 /// Maximum size of a request head; a longer one is answered 431.
 const MAX_HEAD_BYTES: usize = 32 << 10;
-/// Size of the kernel's receive buffer of a connection on which more arrives behind a request: its client's close is seen only
-/// once all of that is received.
-const PIPELINE_RECEIVE_BUFFER_BYTES: usize = 256 << 10;
 /// How long open connections may take to finish after the listener is closed. Requests are bounded by their
 /// deadlines and bodies by their minimum rate; the platform kills the process if it takes longer than allowed.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(60);
@@ -244,7 +241,7 @@
     }
 
     async fn run_connection(&self, socket: &Socket, waited: Option<Instant>) -> ConnectionEnd {
-        let client = Rc::new(ClientConnection::new(waited));
+        let client = Rc::new(ClientConnection::new(waited, self.memory.large_pieces.clone()));
         let service = service_fn(|request| self.respond(request, socket, &client));
         let stream = ObservedStream {
             inner: TokioIo::new(socket.clone()),
@@ -394,8 +391,8 @@
             }
         };
         let rest = (!body.is_complete()).then(|| body.clone());
-        if rest.is_none() && client.unread() == Unread::Bytes {
-            client.set_receive_buffer(PIPELINE_RECEIVE_BUFFER_BYTES);
+        if rest.is_none() {
+            guard.record_received();
         }
         let class = arrival.class;
         let active_request = OnceCell::new();
--- a/src/bin/hollowpaddle/bodies/read_ahead.rs
+++ b/src/bin/hollowpaddle/memory/block_queue.rs
@@ -1,18 +1,17 @@
-//! What was read of a request body before its upstream could take it.
+//! Bytes that were read before their reader could take them.
 
 use std::collections::VecDeque;
 
 use bytes::Bytes;
 
-use crate::memory::{BufferMemory, MAX_PIECE_BYTES, Reservation};
+use super::{BufferMemory, MAX_PIECE_BYTES, Reservation};
 
-/// One body may take this part of the memory, so that others have some.
-const SHARE_DIVISOR: usize = 16;
-
-/// The read part of a body, in blocks with memory reserved for them. Small chunks share a block, since each would take
-/// more memory by itself than it has bytes.
-pub(super) struct ReadAhead {
+/// A queue of bytes, in blocks with memory reserved for them. Small pieces share a block, since each would take more memory
+/// by itself than it has bytes.
+pub struct BlockQueue {
     memory: BufferMemory,
+    /// In bytes; at least one block.
+    max_bytes: usize,
     blocks: VecDeque<Block>,
     /// For the next block, so that a piece that was read always has room.
     spare: Option<Reservation>,
@@ -33,16 +32,16 @@
     }
 }
 
-impl ReadAhead {
-    /// Nothing read yet; blocks will be reserved from `memory`.
-    pub(super) fn new(memory: BufferMemory) -> Self {
-        Self { memory, blocks: VecDeque::new(), spare: None }
+impl BlockQueue {
+    /// An empty queue, which may take one part in `share_divisor` of the memory, so that others have some.
+    pub fn new(memory: BufferMemory, share_divisor: usize) -> Self {
+        let max_bytes = (memory.total() / share_divisor).max(MAX_PIECE_BYTES);
+        Self { memory, max_bytes, blocks: VecDeque::new(), spare: None }
     }
 
     /// Reserves room for one more piece; returns false if no memory is free, or if it would take more than `limit` bytes.
-    pub(super) fn reserve(&mut self, limit: usize) -> bool {
-        let limit = limit.min((self.memory.total() / SHARE_DIVISOR).max(MAX_PIECE_BYTES));
-        if (self.blocks.len() + 1) * MAX_PIECE_BYTES > limit {
+    pub fn reserve(&mut self, limit: usize) -> bool {
+        if (self.blocks.len() + 1) * MAX_PIECE_BYTES > limit.min(self.max_bytes) {
             return false;
         }
         if self.spare.is_none() {
@@ -52,12 +51,12 @@
     }
 
     /// Gives back what [`reserve`](Self::reserve) took and no piece needed.
-    pub(super) fn release_spare(&mut self) {
+    pub fn release_spare(&mut self) {
         self.spare = None;
     }
 
     /// Appends a piece, for which [`reserve`](Self::reserve) has made room.
-    pub(super) fn append(&mut self, piece: &[u8]) {
+    pub fn append(&mut self, piece: &[u8]) {
         let room = self.blocks.back().map_or(0, Block::room);
         let (first, rest) = piece.split_at(piece.len().min(room));
         if let Some(block) = self.blocks.back_mut() {
@@ -74,17 +73,23 @@
     }
 
     /// Takes the oldest block. Its memory stays reserved until the returned bytes are dropped.
-    pub(super) fn pop(&mut self) -> Option<Bytes> {
+    pub fn pop(&mut self) -> Option<Bytes> {
         let Block { mut bytes, reserved } = self.blocks.pop_front()?;
         bytes.shrink_to_fit();
         Some(reserved.attach(Bytes::from(bytes)))
     }
 
-    pub(super) fn is_empty(&self) -> bool {
+    /// The number of bytes in it.
+    pub fn len(&self) -> usize {
+        self.blocks.iter().map(|block| block.bytes.len()).sum()
+    }
+
+    pub fn is_empty(&self) -> bool {
         self.blocks.is_empty()
     }
 
-    pub(super) fn clear(&mut self) {
+    /// Drops everything, and gives its memory back.
+    pub fn clear(&mut self) {
         self.blocks.clear();
         self.release_spare();
     }
--- a/src/bin/hollowpaddle/memory/message_memory.rs
+++ b/src/bin/hollowpaddle/memory/message_memory.rs
@@ -9,7 +9,7 @@
     /// For messages that are kept, and long heads.
     pub buffers: BufferMemory,
     response_heads: BufferMemory,
-    /// For large pieces, and for what is read of a request body before its upstream takes it.
+    /// For large pieces, and for what is read from clients before it is needed.
     pub large_pieces: BufferMemory,
 }
 
--- a/src/bin/hollowpaddle/memory/piece_reader.rs
+++ b/src/bin/hollowpaddle/memory/piece_reader.rs
@@ -56,7 +56,13 @@
         self.tail
     }
 
-    fn max_piece_bytes(&self) -> usize {
+    /// Records bytes that were read in another way.
+    pub fn record_read(&mut self, bytes: &[u8]) {
+        self.tail.append(bytes);
+    }
+
+    /// How much may be read at a time now.
+    pub fn max_piece_bytes(&self) -> usize {
         if self.reserved.is_some() { MAX_PIECE_BYTES } else { self.piece_bytes }
     }
 
--- a/tests/crossings/mod.rs
+++ b/tests/crossings/mod.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod left_clients;
+mod pipelines;
 mod stalls;
 mod system_calls;
 mod takeovers;
