--- a/src/bin/hollowpaddle/bodies/mod.rs
+++ b/src/bin/hollowpaddle/bodies/mod.rs
@@ -2,6 +2,7 @@
 
 mod last_byte;
 mod pace;
+mod read_ahead;
 mod request;
 mod response;
 mod upstream_request;
--- a/src/bin/hollowpaddle/bodies/request.rs
+++ b/src/bin/hollowpaddle/bodies/request.rs
@@ -14,6 +14,7 @@
 
 use super::last_byte::BodyArrival;
 use super::pace::Pace;
+use super::read_ahead::Movement;
 use super::{BodyBuffer, BodyError, MAX_REQUEST_BODY_BYTES};
 use crate::client_connection::ClientInput;
 use crate::memory::{BlockQueue, BufferMemory, PieceSlot, Reservation};
@@ -22,19 +23,8 @@
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(20);
 /// How often the arrival of a body is observed while its upstream does not read it.
 const OBSERVE_INTERVAL: Duration = Duration::from_millis(25);
-/// The most memory for what is read of a body before its upstream takes it. Reading ahead makes a request's time start
-/// earlier, so that less is read for an upstream that may take a large body in time.
-const MAX_READ_AHEAD_BYTES: usize = 512 << 10;
-const MAX_SLOW_READ_AHEAD_BYTES: usize = 1 << 20;
 /// What is read ahead of one body is at most this part of the memory.
 const READ_AHEAD_SHARE_DIVISOR: usize = 16;
-/// An upstream is slow if it takes less than the buffers of both kernels hold in the request's time; judged after a while,
-/// and without what these buffers take at once.
-const KERNEL_BUFFER_BYTES: u64 = 200 << 10;
-const FIRST_BYTES: u64 = 100 << 10;
-const MIN_JUDGED_TIME: Duration = Duration::from_millis(500);
-/// Of a body that has stalled for longer nothing is read ahead: what arrives then may have been written long before.
-const MAX_STALL: Duration = Duration::from_millis(300);
 /// Limit of one run of reading ahead.
 const READ_AHEAD_TIMEOUT: Duration = Duration::from_millis(25);
 
@@ -181,12 +171,17 @@
         while self.is_coming() {
             let passed_on = self.passed_on.get();
             sleep(OBSERVE_INTERVAL).await;
-            let taken = self.passed_on.get() > passed_on;
-            let waiting = self.is_waiting_for_client();
-            self.held_back.set(!waiting && (self.held_back.get() || !taken));
-            let stalled = self.arrival.borrow().stalled_for(Instant::now()) > MAX_STALL;
-            if !waiting && !taken && !stalled {
-                self.read_ahead(self.max_read_ahead(start.elapsed(), time)).await;
+            let movement = Movement {
+                waits_for_client: self.is_waiting_for_client(),
+                was_taken: self.passed_on.get() > passed_on,
+                passed_on: self.passed_on.get(),
+                elapsed: start.elapsed(),
+                stalled: self.arrival.borrow().stalled_for(Instant::now()),
+            };
+            self.held_back.set(movement.is_held_back(self.held_back.get()));
+            match movement.max_read_ahead(time) {
+                0 => {}
+                limit => self.read_ahead(limit).await,
             }
             self.record_arrival();
         }
@@ -223,14 +218,6 @@
         if self.is_waiting_for_client() { None } else { self.arrival.borrow().due(time) }
     }
 
-    /// How much may be read ahead of an upstream that has read for `elapsed`.
-    fn max_read_ahead(&self, elapsed: Duration, time: Duration) -> usize {
-        let taken = self.passed_on.get().saturating_sub(FIRST_BYTES) as f64;
-        let in_time = taken / elapsed.as_secs_f64() * time.as_secs_f64();
-        let slow = elapsed >= MIN_JUDGED_TIME && in_time < KERNEL_BUFFER_BYTES as f64;
-        if slow { MAX_SLOW_READ_AHEAD_BYTES } else { MAX_READ_AHEAD_BYTES }
-    }
-
     async fn read_ahead(&self, limit: usize) {
         let read = poll_fn(|cx| self.poll_read_ahead(cx, limit));
         let _ = timeout(READ_AHEAD_TIMEOUT, read).await;
