--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -1,7 +1,10 @@
 //! The engine owns the policy (the decision module), the request table and the timers. It passes every event to
 //! the policy in order of arrival and executes the returned actions in order. It makes no decisions itself.
 
+mod attempts;
+mod clock;
 mod handle;
+mod list;
 mod uploads;
 mod upstream_table;
 
@@ -9,7 +12,7 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use hollowpaddle::discovery::client::{self, ClientCommand, ListEvent};
 use hollowpaddle::discovery::filter::Filter;
@@ -32,6 +35,7 @@
 use crate::guard::AttemptGuard;
 use crate::lateness::Lateness;
 use crate::upstreams::{AttemptResult, Forward, Pool};
+use clock::Clock;
 use handle::EngineMessage;
 pub use handle::{Arrival, Handle, Reply};
 use upstream_table::UpstreamTable;
@@ -148,34 +152,6 @@
     max_attempts: usize,
 }
 
-/// The policy's clock: monotonic, with its origin set once from Unix time so that times in the list need no
-/// conversion.
-#[derive(Clone, Copy)]
-struct Clock {
-    start: Instant,
-    unix_us: i64,
-}
-
-impl Clock {
-    fn new() -> Self {
-        Self { start: Instant::now(), unix_us: Self::wall().0 }
-    }
-    /// The current wall clock time, which may have been stepped since the process started.
-    fn wall() -> Time {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Time(unix.as_micros() as i64)
-    }
-    fn now(&self) -> Time {
-        self.at(Instant::now())
-    }
-    fn at(&self, instant: Instant) -> Time {
-        Time(self.unix_us + instant.saturating_duration_since(self.start).as_micros() as i64)
-    }
-    fn instant(&self, time: Time) -> Instant {
-        self.start + Duration::from_micros((time.0 - self.unix_us).max(0) as u64)
-    }
-}
-
 impl Engine {
     /// `keeper` is the on-disk list cache, if configured. Until discovery sends an update, the engine uses the
     /// cached list or the configured one, whichever has the higher revision.
@@ -350,68 +326,6 @@
         }
     }
 
-    fn on_list_update(&mut self, update: ListEvent) {
-        match update {
-            ListEvent::Updated(list) => {
-                self.apply_list(
-                    &list,
-                    if list.complete { ListKind::Full } else { ListKind::Update },
-                );
-                if let Some(keeper) = &self.keeper {
-                    keeper.keep(list);
-                }
-            }
-            ListEvent::Disconnected => {
-                for service in self.services.ids() {
-                    self.notify_policy(
-                        service,
-                        Event::Members { kind: ListKind::Unavailable, list: &[] },
-                    );
-                }
-            }
-        }
-    }
-
-    /// Applies a new set of services and routes, or keeps the current one if the new one is not acceptable.
-    fn reload(&mut self, catalog: Option<Rc<Catalog>>) {
-        let single = self.services.routing().catalog.is_single();
-        let reloaded = match catalog {
-            // The settings of a single-service configuration are read only at startup.
-            None if single => return,
-            None => Err(ReloadError::Kind),
-            Some(catalog) => self.services.reload(catalog, self.clock.now()),
-        };
-        let reloaded = match reloaded {
-            Ok(reloaded) => reloaded,
-            Err(cause) => {
-                tracing::warn!(%cause, "reload rejected; keeping the current services and routes");
-                return;
-            }
-        };
-        let (added, removed) = (reloaded.added, reloaded.removed.len());
-        tracing::info!(added, removed, "services and routes reloaded");
-        for (name, classes) in service_classes(&reloaded.routing.catalog) {
-            self.figures.register_service(name, classes);
-        }
-        if added + removed > 0 {
-            self.send_order(ClientCommand::SetFilter(filter(&reloaded.routing.catalog)));
-        }
-        self.routing.replace(reloaded.routing);
-        self.apply_changes(&reloaded.changes);
-        for service in reloaded.removed {
-            self.notify_policy(service, Event::Members { kind: ListKind::Full, list: &[] });
-            let waits = |r: &PendingRequest| {
-                r.service == service && r.reply.is_some() && r.in_flight() == 0
-            };
-            let pending = self.requests.iter().filter(|(_, r)| waits(r));
-            let waiting: Vec<RequestId> = pending.map(|(id, _)| *id).collect();
-            for id in waiting {
-                self.give_up(id);
-                self.remove_if_done(id);
-            }
-        }
-    }
-
     fn send_order(&self, order: ClientCommand) {
         // Cannot fail: the list client lives as long as the engine.
         let _ = self.orders.send(order);
@@ -533,48 +447,6 @@
         true
     }
 
-    fn on_attempt_ended(&mut self, id: RequestId, attempt: usize, result: AttemptResult) {
-        if result.denial == Some(Denial::ClientClosed) {
-            // The task of the client's connection has not processed the close yet.
-            self.on_client_left(id);
-        }
-        let Some(pending) = self.requests.get_mut(&id) else { return };
-        let Some(record) = pending.attempts.get_mut(attempt) else { return };
-        record.task = None;
-        let (server, latency) = (record.server, record.sent_at.elapsed());
-        let (outcome, denial) = (result.outcome, result.denial);
-        let request = pending.forward.id();
-        tracing::debug!(request, attempt, ?server, ?outcome, ?denial, ?latency, "attempt ended");
-        pending.last_outcome = Some(result.outcome);
-        if let Some(figures) = self.upstreams.figures(server) {
-            figures.record_attempt(result.outcome, latency);
-        }
-        // The first complete response goes to the client; later ones are dropped.
-        if let Some(response) = result.response {
-            self.answer(id, Reply::Served(response));
-        }
-        let pending = self.requests.get(&id);
-        let service = pending.map(|r| r.service);
-        let over = pending.is_none_or(|r| r.reply.is_none());
-        let spent = pending.is_some_and(|r| r.forward.body.is_consumed());
-        let answer = d::Answer {
-            report: result.report,
-            spent,
-            ..d::Answer::new(
-                id,
-                attempt,
-                server,
-                result.outcome,
-                Span(latency.as_micros() as i64),
-                over,
-            )
-        };
-        if let Some(service) = service {
-            self.run_policy(service, Event::Answered(answer));
-        }
-        self.remove_if_done(id);
-    }
-
     /// Removes a request that is answered and has no attempts in flight.
     fn remove_if_done(&mut self, id: RequestId) {
         let over = |r: &PendingRequest| r.reply.is_none() && r.in_flight() == 0;
@@ -585,23 +457,6 @@
         }
     }
 
-    fn apply_list(&mut self, list: &List, kind: ListKind) {
-        self.services.observe_wall_clock(Clock::wall(), self.clock.now());
-        let DirectoryUpdate { changes, members } = self.services.apply_list(list, kind);
-        self.apply_changes(&changes);
-        for (service, members) in members {
-            self.notify_policy(service, Event::Members { kind, list: &members });
-        }
-    }
-
-    fn apply_changes(&mut self, changes: &[Change]) {
-        for change in changes {
-            self.upstreams.apply(change, &self.pool, &self.figures);
-        }
-        self.ready.set(self.services.any_live());
-        self.listed_upstreams.set(self.upstreams.listed_count);
-    }
-
     /// Passes an event to the policy and executes its actions, then does the same for the attempts that these
     /// actions ended.
     fn notify_policy(&mut self, service: ServiceId, event: Event) {
@@ -623,85 +478,6 @@
         }
         self.actions = actions;
     }
-
-    fn execute(&mut self, service: ServiceId, action: Action) {
-        match action {
-            Action::Send { request, server, timeout, before } => {
-                self.send(request, server, timeout, before);
-            }
-            Action::Refuse { request, retry_after } => {
-                self.answer(request, Reply::Refused { retry_after });
-                self.remove_if_done(request);
-            }
-            Action::Fail { request } => {
-                let last_outcome = self.requests.get(&request).and_then(|r| r.last_outcome);
-                self.answer(
-                    request,
-                    Reply::Failed { late: last_outcome == Some(Outcome::Timeout) },
-                );
-                self.remove_if_done(request);
-            }
-            Action::Cancel { request, attempt } => {
-                let pending = self.requests.get_mut(&request);
-                let record = pending.and_then(|r| r.attempts.get_mut(attempt));
-                if record.is_some_and(|t| t.task.take().is_some()) {
-                    self.deferred_ends.push_back((
-                        request,
-                        attempt,
-                        AttemptResult::without_response(Outcome::Cancelled),
-                    ));
-                }
-            }
-            Action::Arm { token, at } => {
-                self.timers
-                    .push(Reverse((self.clock.instant(at), TimerKind::Policy(service, token))));
-            }
-            Action::CloseIdle { server } => self.pool.close_idle(server),
-            Action::Subscribe => self.send_order(ClientCommand::Poll),
-            // The upstreams here do not support probes, and the policy sends none in that case.
-            Action::Probe { .. } => {}
-        }
-    }
-
-    fn send(&mut self, id: RequestId, server: ServerId, allow: Span, before: Time) {
-        let Some(pending) = self.requests.get_mut(&id) else { return };
-        let (now, attempt) = (Instant::now(), pending.attempts.len());
-        let allowed = if allow.0 > 0 {
-            now + Duration::from_micros(allow.0 as u64)
-        } else {
-            pending.policy_deadline
-        };
-        let until = allowed.min(pending.policy_deadline);
-        let disallowed_copy = pending.in_flight() > 0 && !self.second_copies;
-        let target = self.upstreams.target(server);
-        let mut record = Attempt { server, sent_at: now, task: None };
-        let over = pending.reply.is_none() || attempt >= self.max_attempts || now >= until;
-        let over = over || pending.forward.body.is_consumed();
-        let (Some(target), false) = (target, over || disallowed_copy) else {
-            pending.attempts.push(record);
-            self.deferred_ends.push_back((
-                id,
-                attempt,
-                AttemptResult::without_response(Outcome::NotSent),
-            ));
-            return;
-        };
-        let (pool, messages) = (self.pool.clone(), self.message_sender.clone());
-        let (forward, unanswered) = (pending.forward.clone(), pending.unanswered.clone());
-        let (before, violations) = (self.clock.instant(before), self.figures.violations.clone());
-        let guard = AttemptGuard::new(forward, unanswered, target, before, violations);
-        tracing::debug!(request = pending.forward.id(), attempt, ?server, "attempt started");
-        if let Err(denial) = guard.check() {
-            pending.attempts.push(record);
-            self.deferred_ends.push_back((id, attempt, AttemptResult::denied(denial)));
-            return;
-        }
-        record.task = Some(AbortOnDrop(tokio::task::spawn_local(async move {
-            let result = pool.attempt(server, &guard, until).await;
-            let _ = messages.send(EngineMessage::AttemptEnded { id, attempt, result });
-        })));
-        pending.attempts.push(record);
-    }
 }
 
 #[cfg(test)]
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -357,15 +357,25 @@
         let mut stream = connect(address, 64 << 10);
         let mut served = 0;
         while !stop.load(Ordering::Relaxed) {
+            let start = Instant::now();
             let sent = stream.write_all(&request);
-            match sent.ok().and_then(|()| self.read_message(&mut stream)) {
+            let written = start.elapsed();
+            match sent.as_ref().ok().and_then(|()| self.read_message(&mut stream)) {
                 Some(head) if head.starts_with("http/1.1 200") => {
                     served += 1;
                     if head.contains("connection: close") {
                         stream = connect(address, 64 << 10);
                     }
                 }
-                other => return (served, Some(other.unwrap_or_else(|| "no answer".to_owned()))),
+                Some(head) => return (served, Some(head)),
+                None => {
+                    let (port, took) = (stream.local_addr().map(|at| at.port()), start.elapsed());
+                    let end = stream.read(&mut [0]);
+                    let cause = format!(
+                        "no answer to e{n} from port {port:?}: {sent:?} in {written:?}, {end:?} after {took:?}"
+                    );
+                    return (served, Some(cause));
+                }
             }
         }
         (served, None)
