--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -2,6 +2,7 @@
 //! clients hold a third of the descriptors, the most that they may (TERMS). A file of its own, since hundreds of clients at once
 //! slow down what runs beside them.
 
+mod load;
 #[allow(dead_code)] // Each test file uses a part of the stubs.
 mod stubs;
 
@@ -15,6 +16,7 @@
 use serde_json::Value;
 use socket2::{Domain, SockRef, Socket, Type};
 
+use load::*;
 use stubs::*;
 
 /// The limits of a proxy.
@@ -43,14 +45,6 @@
     }
 }
 
-/// What no file backs of a process's memory, in bytes.
-fn private_memory(node: &Node) -> usize {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", node.child.id()));
-    let status = status.expect("the proxy is running");
-    let line = status.lines().find_map(|l| l.strip_prefix("RssAnon:")).expect("a line RssAnon");
-    line.trim().trim_end_matches(" kB").parse::<usize>().expect("kilobytes") << 10
-}
-
 /// Clients that run until they are told to stop, each with a thread of its own.
 struct Clients<T> {
     stop: Arc<AtomicBool>,
@@ -102,36 +96,24 @@
 ) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     SockRef::from(&listener).listen(1024).expect("a longer backlog");
-    let address = listener.local_addr().expect("an address");
-    let serve = Arc::new(serve);
-    std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let serve = serve.clone();
-            let thread = std::thread::Builder::new().stack_size(256 << 10);
-            thread.spawn(move || serve(stream)).expect("a thread");
-        }
-    });
-    address
+    serve_connections(listener, serve)
 }
 
-/// Reads up to the end of a head; returns it and what follows it.
-fn read_head(stream: &mut TcpStream) -> Option<(String, usize)> {
-    let (mut read, mut piece) = (Vec::new(), vec![0; 16 << 10]);
-    loop {
-        if let Some(at) = read.windows(4).position(|w| w == b"\r\n\r\n") {
-            let head = String::from_utf8_lossy(&read[..at + 4]).to_lowercase();
-            return Some((head, read.len() - at - 4));
-        }
-        let n = stream.read(&mut piece).ok().filter(|n| *n > 0)?;
-        read.extend_from_slice(&piece[..n]);
-    }
+/// Reads a message with a `Content-Length`, and returns its head.
+fn read_message(stream: &mut TcpStream) -> Option<String> {
+    let (head, rest) = read_head(&mut *stream)?;
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "))?;
+    let length: usize = length.parse().ok()?;
+    stream.read_exact(&mut vec![0; length.checked_sub(rest.len())?]).ok()?;
+    Some(head)
 }
 
 /// Reads requests with a `Content-Length` or a chunked body that ends its last chunk in one write, and answers each.
 fn answer_each(mut stream: TcpStream) -> Option<()> {
     let mut piece = vec![0; 32 << 10];
     loop {
-        let (head, mut read) = read_head(&mut stream)?;
+        let (head, rest) = read_head(&mut stream)?;
+        let mut read = rest.len();
         let length = head.lines().find_map(|l| l.strip_prefix("content-length: "));
         let mut last = Vec::new();
         match length.and_then(|l| l.parse::<usize>().ok()) {
@@ -333,16 +315,10 @@
         [head.into_bytes(), vec![b'x'; self.body]].concat()
     }
 
-    fn read_message(&self, stream: &mut TcpStream) -> Option<String> {
-        let (head, read) = read_head(stream)?;
-        stream.read_exact(&mut vec![0; self.body.checked_sub(read)?]).ok()?;
-        Some(head)
-    }
-
     /// Answers each request on a connection after this time.
     fn answer(&self, mut stream: TcpStream, after: Duration) {
         let answer = self.message("HTTP/1.1 200 OK");
-        while self.read_message(&mut stream).is_some() {
+        while read_message(&mut stream).is_some() {
             std::thread::sleep(after);
             let _ = stream.write_all(&answer);
         }
@@ -360,8 +336,9 @@
             let start = Instant::now();
             let sent = stream.write_all(&request);
             let written = start.elapsed();
-            match sent.as_ref().ok().and_then(|()| self.read_message(&mut stream)) {
+            match sent.as_ref().ok().and_then(|()| read_message(&mut stream)) {
                 Some(head) if head.starts_with("http/1.1 200") => {
+                    assert!(head.contains(&format!("content-length: {}\r\n", self.body)), "{head}");
                     served += 1;
                     if head.contains("connection: close") {
                         stream = connect(address, 64 << 10);
--- a/tests/uploads.rs
+++ b/tests/uploads.rs
@@ -1,5 +1,6 @@
 //! Request bodies that an upstream reads slowly, with pauses, or not to the end: on real processes, by real clocks.
 
+mod load;
 #[allow(dead_code)] // Each test file uses a part of the stubs.
 mod stubs;
 
@@ -14,6 +15,7 @@
 use serde_json::Value;
 use socket2::{Domain, Socket, Type};
 
+use load::*;
 use stubs::*;
 
 /// A final answer is owed this long after the request's time (STANDING), and time limits on sockets are extended by the
@@ -142,34 +144,18 @@
     socket.set_recv_buffer_size(receive_buffer).expect("a size");
     socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
     socket.listen(1024).expect("it listens");
-    let listener = TcpListener::from(socket);
-    let address = listener.local_addr().expect("an address");
-    std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let (readings, completed) = (readings.clone(), completed.clone());
-            let thread = std::thread::Builder::new().stack_size(256 << 10);
-            let serve = move || while serve(&stream, &readings, &completed).is_some() {};
-            thread.spawn(serve).expect("a thread");
-        }
-    });
-    address
+    serve_connections(TcpListener::from(socket), move |stream| {
+        while serve(&stream, &readings, &completed).is_some() {}
+    })
 }
 
 fn serve(mut stream: &TcpStream, readings: &Readings, completed: &AtomicUsize) -> Option<()> {
-    let (mut bytes, mut piece) = (Vec::new(), vec![0; 4096]);
-    let end = loop {
-        if let Some(end) = bytes.windows(4).position(|w| w == b"\r\n\r\n") {
-            break end + 4;
-        }
-        let n = stream.read(&mut piece).ok().filter(|n| *n > 0)?;
-        bytes.extend_from_slice(&piece[..n]);
-    };
-    let head = String::from_utf8_lossy(&bytes[..end]).to_lowercase();
+    let (head, rest) = read_head(stream)?;
     let header = |name: &str| head.lines().find_map(|l| l.strip_prefix(name));
     let length = header("content-length: ").and_then(|l| l.parse::<usize>().ok());
     let number = header("x-request-id: u").and_then(|n| n.parse::<usize>().ok());
     let reading = number.map(|n| readings.lock().expect("readings")[n]);
-    let (mut read, mut tail) = (bytes.len() - end, bytes[end..].to_vec());
+    let (mut read, mut tail, mut piece) = (rest.len(), rest, vec![0; 4096]);
     let (mut start, mut paused) = (Instant::now(), false);
     let chunked = head.contains("chunked");
     let complete = |read: usize, tail: &[u8]| match length {
@@ -361,11 +347,3 @@
         assert_eq!(bench.completed.load(Ordering::Relaxed), 0, "it ran, chunked: {chunked}");
     }
 }
-
-/// What no file backs of a process's memory, in bytes.
-fn private_memory(node: &Node) -> usize {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", node.child.id()));
-    let status = status.expect("the proxy is running");
-    let line = status.lines().find_map(|l| l.strip_prefix("RssAnon:")).expect("a line RssAnon");
-    line.trim().trim_end_matches(" kB").parse::<usize>().expect("kilobytes") << 10
-}
