A head that waited for memory after a stall has its time from the stall's beginning

It counts from the earliest arrival now, as requests that are read do. Test: a unit test of the connection (a new one; the old code has no such argument).

--- a/src/bin/hollowpaddle/client_connection.rs
+++ b/src/bin/hollowpaddle/client_connection.rs
@@ -1,23 +1,25 @@
 //! The state and the timeouts of a client connection.
 
+mod input;
+mod observed_stream;
 mod read_behind;
 
 use std::cell::{Cell, RefCell};
 use std::future::{Future, poll_fn};
-use std::pin::{Pin, pin};
+use std::pin::pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Poll, ready};
 use std::time::Duration;
 
-use crate::memory::{BufferMemory, HeadGate, PieceReader};
+use crate::memory::BufferMemory;
 use hollowpaddle::invariants::permit::{self, CloseFacts};
 use hollowpaddle::socket::{Peer, Socket, Tail, Unread};
-use hyper::rt::{Read, ReadBufCursor, Write};
-use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
+pub use input::ClientInput;
+pub use observed_stream::ObservedStream;
 use read_behind::ReadBehind;
 
 /// How long a connection may be idle between two requests: with ample room in the connection table, and with little.
@@ -137,19 +139,21 @@
         self.long_head.get()
     }
 
-    /// Records whether the head of a request waits for memory. That time counts as time in the backlog.
-    fn record_memory_wait(&self, waits: bool) {
-        if !waits {
+    /// Records whether the head of a request waits for memory, and since when it may have been here. That time counts as time in
+    /// the backlog.
+    fn record_memory_wait(&self, arrived: Option<Instant>) {
+        let Some(arrived) = arrived else {
             if let Some(since) = self.memory_wait_since.take() {
                 self.state.set(match self.state.get() {
                     State::Asking(began) => State::Asking(began + since.elapsed()),
                     other => other,
                 });
             }
-        } else if self.memory_wait_since.get().is_none() {
-            let now = Instant::now();
-            self.memory_wait_since.set(Some(now));
-            self.waited_since.set(Some(self.waited_since.get().unwrap_or(now)));
+            return;
+        };
+        if self.memory_wait_since.get().is_none() {
+            self.memory_wait_since.set(Some(Instant::now()));
+            self.waited_since.set(Some(self.waited_since.get().unwrap_or(arrived)));
         }
     }
 
@@ -274,32 +278,6 @@
     }
 }
 
-/// What a client has sent on its connection, as far as this machine has received it.
-pub struct ClientInput {
-    connection: Rc<ClientConnection>,
-    peer: Peer,
-}
-
-impl ClientInput {
-    /// The number of bytes that hyper has read.
-    pub fn read(&self) -> u64 {
-        self.connection.bytes_read.get()
-    }
-
-    /// The number of bytes received, read or not.
-    pub fn received(&self) -> u64 {
-        let behind = self.connection.read_behind.borrow().len();
-        self.read() + behind as u64 + self.peer.unread_bytes()
-    }
-
-    /// Whether the last bytes received are an empty line, with which chunked bodies end.
-    pub fn ends_with_empty_line(&self) -> bool {
-        let unread = self.peer.unread_tail();
-        let received = unread.or_else(|| self.connection.read_behind.borrow().tail());
-        received.unwrap_or(self.connection.tail.get()).is_empty_line()
-    }
-}
-
 /// Marks a request as in flight on its connection until dropped.
 pub struct RequestGuard {
     connection: Rc<ClientConnection>,
@@ -320,7 +298,7 @@
 
     /// The input of the request's connection, whose peer is `peer`.
     pub fn input(&self, peer: Peer) -> ClientInput {
-        ClientInput { connection: self.connection.clone(), peer }
+        ClientInput::new(self.connection.clone(), peer)
     }
 
     /// How long the client may take to start sending its body.
@@ -348,105 +326,5 @@
         timeout(if is_crowded { LINGER_TIMEOUT_CROWDED } else { LINGER_TIMEOUT }, read_on).await;
 }
 
-/// A stream that records reads and writes in the connection's state.
-pub struct ObservedStream {
-    pub inner: TokioIo<Socket>,
-    pub connection: Rc<ClientConnection>,
-    pub reader: PieceReader,
-    pub head_gate: HeadGate,
-}
-
-impl ObservedStream {
-    /// Waits for memory if a long head is being read. The time that this takes is not the client's.
-    fn poll_head_gate(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        match self.connection.state.get() {
-            State::Served => return Poll::Ready(()),
-            State::Silent(_) | State::Idle(_) => self.head_gate.restart(),
-            State::Asking(_) => {}
-        }
-        let open = self.head_gate.poll_open(cx);
-        self.connection.record_memory_wait(open.is_pending());
-        self.connection.long_head.set(self.head_gate.is_reserved());
-        open
-    }
-}
-
-impl ObservedStream {
-    /// Gives hyper bytes that were read before; returns their number.
-    fn read_from_behind(&mut self, buffer: &mut ReadBufCursor<'_>) -> usize {
-        let most = self.reader.max_piece_bytes().min(buffer.remaining());
-        let bytes = self.connection.read_behind.borrow_mut().take(most);
-        self.reader.record_read(&bytes);
-        buffer.put_slice(&bytes);
-        bytes.len()
-    }
-
-    fn poll_read_socket(
-        &mut self,
-        cx: &mut Context<'_>,
-        buffer: &mut ReadBufCursor<'_>,
-    ) -> Poll<std::io::Result<usize>> {
-        match self.read_from_behind(buffer) {
-            0 => self.reader.poll_read(self.inner.inner_mut(), cx, buffer),
-            bytes => Poll::Ready(Ok(bytes)),
-        }
-    }
-}
-
-impl Read for ObservedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        mut buf: ReadBufCursor<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        ready!(self.poll_head_gate(cx));
-        let read = self.poll_read_socket(cx, &mut buf);
-        self.connection.reading.set(read.is_pending());
-        let bytes = ready!(read)?;
-        self.connection.record_read(bytes, self.reader.tail());
-        match self.connection.state.get() {
-            State::Idle(_) => self.connection.state.set(State::Asking(Instant::now())),
-            State::Silent(since) => self.connection.state.set(State::Asking(since)),
-            State::Asking(_) | State::Served => {}
-        }
-        self.head_gate.record(bytes);
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl Write for ObservedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<std::io::Result<usize>> {
-        let written = Pin::new(&mut self.inner).poll_write(cx, buf);
-        self.connection.record_write(written.is_pending());
-        written
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[std::io::IoSlice<'_>],
-    ) -> Poll<std::io::Result<usize>> {
-        let written = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
-        self.connection.record_write(written.is_pending());
-        written
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.inner.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(cx)
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/bin/hollowpaddle/client_connection/tests.rs
+++ b/src/bin/hollowpaddle/client_connection/tests.rs
@@ -31,3 +31,17 @@
     connection.state.set(State::Asking(Instant::now()));
     assert_eq!(by(Room::Full), by(Room::Plenty));
 }
+
+/// Guards against a head that waits for memory after a stall counting from the stall's end.
+#[test]
+fn request_whose_head_waited_for_memory_arrived_before_it_waited() {
+    let connection = Rc::new(ClientConnection::new(None, BufferMemory::new(0)));
+    let now = Instant::now();
+    let arrived =
+        now.checked_sub(Duration::from_millis(300)).expect("the machine is up for longer");
+    connection.record_memory_wait(Some(arrived));
+    connection.record_memory_wait(Some(now));
+    connection.record_memory_wait(None);
+    assert_eq!(connection.begin_request().arrived(now), arrived);
+    assert_eq!(connection.begin_request().arrived(now), now, "the next one did not wait");
+}
--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -248,6 +248,7 @@
             connection: client.clone(),
             reader: self.memory.reader(),
             head_gate: self.memory.request_head_gate(),
+            engine: self.engine.clone(),
         };
         let connection =
             http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).serve_connection(stream, service);
