The end of a chunked body is seen where its first bytes are read and the rest is not

With one to three of them unread, the empty line at the end of a chunked body was not recognized, and the request was due only when its body had stalled. The unread bytes are appended to the tail of those read now. Test: on a socket pair, the last two bytes unread; the old function took no tail of what was read. No real process has shown the fault.

--- a/src/bin/hollowpaddle/client_connection/input.rs
+++ b/src/bin/hollowpaddle/client_connection/input.rs
@@ -30,8 +30,8 @@
 
     /// Whether the last bytes received are an empty line, with which chunked bodies end.
     pub fn ends_with_empty_line(&self) -> bool {
-        let unread = self.peer.unread_tail();
-        let received = unread.or_else(|| self.connection.read_behind.borrow().tail());
-        received.unwrap_or(self.connection.tail.get()).is_empty_line()
+        let read = self.connection.read_behind.borrow().tail();
+        let read = read.unwrap_or(self.connection.tail.get());
+        self.peer.received_tail(read).is_empty_line()
     }
 }
--- a/src/socket/mod.rs
+++ b/src/socket/mod.rs
@@ -156,21 +156,29 @@
         rustix::io::ioctl_fionread(&*stream).unwrap_or(0)
     }
 
-    /// The last bytes received, if any are not read.
-    pub fn unread_tail(&self) -> Option<Tail> {
+    /// The last bytes received, given the last bytes `read`.
+    pub fn received_tail(&self, read: Tail) -> Tail {
+        let mut tail = read;
+        tail.append(&self.peek_unread().unwrap_or_default());
+        tail
+    }
+
+    /// The bytes received and not read, as far as they are looked at.
+    fn peek_unread(&self) -> Option<Vec<u8>> {
         let unread = usize::try_from(self.unread_bytes()).ok().filter(|bytes| *bytes > 0)?;
         let stream = self.0.upgrade()?;
         let mut bytes = vec![0; unread.min(MAX_PEEK_BYTES)];
-        let peeked = loop {
+        loop {
             match recv(stream.as_raw_fd(), &mut bytes, MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT)
             {
                 Err(Errno::EINTR) => {}
-                result => break result.ok()?,
+                Err(_) => return None,
+                Ok(peeked) => {
+                    bytes.truncate(peeked);
+                    return Some(bytes);
+                }
             }
-        };
-        let mut tail = Tail::default();
-        tail.append(&bytes[..peeked]);
-        Some(tail)
+        }
     }
 }
 
