Memory test of pipelined requests on all connections; longer trailing bytes in the soak

Clients of the soak that close early write up to 400,000 bytes behind their request, 40,000 before, so that closes behind full kernel buffers occur.

--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -462,3 +462,22 @@
         assert_within(most, limits, &format!("{text:?}, {reads}"));
     }
 }
+
+/// Guards against what is read behind requests in flight adding up.
+#[test]
+fn pipelined_requests_on_all_connections_stay_within_the_memory_limit() {
+    for limits in [limits(32, 256), limits(32, 1024)] {
+        let upstream = start_upstream(|mut stream| {
+            while read_message(&mut stream).is_some() {
+                std::thread::sleep(Duration::from_millis(100));
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            }
+        });
+        let node = limits.start(upstream);
+        let address = node.address;
+        let (post, clients) = (FLOODS[1], limits.clients());
+        let clients = Clients::start(clients, move |_, stop| flood(address, post, true, stop));
+        let most = clients.most_memory(&node, Duration::from_secs(2));
+        assert_within(most, limits, "pipelined requests");
+    }
+}
--- a/tests/soak/clients.rs
+++ b/tests/soak/clients.rs
@@ -217,7 +217,7 @@
         let trailing = match self.random.gen_range(0..4) {
             0 => b"GET /api HT".to_vec(),
             1 => self.request().2,
-            2 => vec![b'P'; self.random.gen_range(1..40_000)],
+            2 => vec![b'P'; self.random.gen_range(1..400_000)],
             _ => Vec::new(),
         };
         if stream.write_all(&text).is_err() {
