Tests of clients at full speed in a file of their own, one after the other

Change: they are in tests/floods.rs, which runs by itself, one test at a time; limits, clients and the like are shared in tests/load. Bounds and checks are as they were.

--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -2,148 +2,19 @@
 //! clients hold a third of the descriptors, the most that they may (TERMS). A file of its own, since hundreds of clients at once
 //! slow down what runs beside them.
 
+#[allow(dead_code)] // Each test file uses a part of the helpers.
 mod load;
 #[allow(dead_code)] // Each test file uses a part of the stubs.
 mod stubs;
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use serde_json::Value;
-use socket2::{Domain, SockRef, Socket, Type};
-
 use load::*;
 use stubs::*;
 
-/// The limits of a proxy.
-#[derive(Clone, Copy, Debug)]
-struct Limits {
-    memory_mb: usize,
-    descriptors: usize,
-}
-
-const fn limits(memory_mb: usize, descriptors: usize) -> Limits {
-    Limits { memory_mb, descriptors }
-}
-
-impl Limits {
-    fn clients(&self) -> usize {
-        self.descriptors / 3
-    }
-
-    /// A proxy with these limits before one upstream that is listed often enough for every client to be served.
-    fn start(&self, upstream: SocketAddr) -> Node {
-        let listed = (0..400).map(|i| member(&format!("s-{i}"), upstream, "SERVING")).collect();
-        let mut file = config(listed);
-        file["limits"]["memory_mb"] = Value::from(self.memory_mb);
-        file["limits"]["sockets"] = Value::from(self.descriptors);
-        Node::start(&file)
-    }
-}
-
-/// Clients that run until they are told to stop, each with a thread of its own.
-struct Clients<T> {
-    stop: Arc<AtomicBool>,
-    threads: Vec<JoinHandle<T>>,
-}
-
-impl<T: Send + 'static> Clients<T> {
-    fn start(
-        count: usize,
-        client: impl Fn(usize, &AtomicBool) -> T + Send + Sync + 'static,
-    ) -> Self {
-        let (stop, client) = (Arc::new(AtomicBool::new(false)), Arc::new(client));
-        let start = |n| {
-            let (stop, client) = (stop.clone(), client.clone());
-            let thread = std::thread::Builder::new().stack_size(256 << 10);
-            thread.spawn(move || client(n, &stop)).expect("a thread")
-        };
-        Self { threads: (0..count).map(start).collect(), stop }
-    }
-
-    /// The most private memory that the proxy holds in this time, or until all clients have ended.
-    fn most_memory(&self, node: &Node, time: Duration) -> usize {
-        let start = Instant::now();
-        let mut most = 0;
-        while start.elapsed() < time && !self.threads.iter().all(JoinHandle::is_finished) {
-            most = most.max(private_memory(node));
-            std::thread::sleep(Duration::from_millis(10));
-        }
-        most
-    }
-
-    /// Tells the clients to stop, and returns what each returns.
-    fn join(mut self) -> Vec<T> {
-        self.stop.store(true, Ordering::Relaxed);
-        self.threads.drain(..).map(|thread| thread.join().expect("a client")).collect()
-    }
-}
-
-impl<T> Drop for Clients<T> {
-    fn drop(&mut self) {
-        self.stop.store(true, Ordering::Relaxed);
-        self.threads.drain(..).for_each(|thread| drop(thread.join()));
-    }
-}
-
-/// An upstream that calls `serve` for each connection, with a thread of its own.
-fn start_upstream<T: Send + 'static>(
-    serve: impl Fn(TcpStream) -> T + Send + Sync + 'static,
-) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    SockRef::from(&listener).listen(1024).expect("a longer backlog");
-    serve_connections(listener, serve)
-}
-
-/// Reads a message with a `Content-Length`, and returns its head.
-fn read_message(stream: &mut TcpStream) -> Option<String> {
-    let (head, rest) = read_head(&mut *stream)?;
-    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "))?;
-    let length: usize = length.parse().ok()?;
-    stream.read_exact(&mut vec![0; length.checked_sub(rest.len())?]).ok()?;
-    Some(head)
-}
-
-/// Reads requests with a `Content-Length` or a chunked body that ends its last chunk in one write, and answers each.
-fn answer_each(mut stream: TcpStream) -> Option<()> {
-    let mut piece = vec![0; 32 << 10];
-    loop {
-        let (head, rest) = read_head(&mut stream)?;
-        let mut read = rest.len();
-        let length = head.lines().find_map(|l| l.strip_prefix("content-length: "));
-        let mut last = Vec::new();
-        match length.and_then(|l| l.parse::<usize>().ok()) {
-            Some(length) => {
-                while read < length {
-                    read += stream.read(&mut piece).ok().filter(|n| *n > 0)?;
-                }
-            }
-            None if head.contains("chunked") => {
-                while !last.ends_with(b"0\r\n\r\n") {
-                    let n = stream.read(&mut piece).ok().filter(|n| *n > 0)?;
-                    last.extend_from_slice(&piece[..n]);
-                    last.drain(..last.len().saturating_sub(5));
-                }
-            }
-            None => {}
-        }
-        stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").ok()?;
-    }
-}
-
-fn connect(address: SocketAddr, receive_buffer: usize) -> TcpStream {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-    socket.set_recv_buffer_size(receive_buffer).expect("a size");
-    socket.connect(&address.into()).expect("it accepts");
-    let stream = TcpStream::from(socket);
-    stream.set_read_timeout(Some(SOON)).expect("a time");
-    stream
-}
-
 /// A body as clients send it.
 #[derive(Clone, Copy, Debug)]
 struct Upload {
@@ -215,12 +86,6 @@
     Some(())
 }
 
-#[track_caller]
-fn assert_within(most: usize, limits: Limits, what: &str) {
-    let allowed = limits.memory_mb << 20;
-    assert!(most <= allowed, "{} KiB of {} allowed: {what}, {limits:?}", most >> 10, allowed >> 10);
-}
-
 /// Limits of memory and descriptors that the operators name, the least of each with the most of the other among them.
 const LIMITS: [Limits; 4] = [limits(32, 256), limits(32, 640), limits(32, 1024), limits(48, 1024)];
 
@@ -318,7 +183,7 @@
     /// Answers each request on a connection after this time.
     fn answer(&self, mut stream: TcpStream, after: Duration) {
         let answer = self.message("HTTP/1.1 200 OK");
-        while read_message(&mut stream).is_some() {
+        while read_whole_message(&mut stream).is_some() {
             std::thread::sleep(after);
             let _ = stream.write_all(&answer);
         }
@@ -336,7 +201,7 @@
             let start = Instant::now();
             let sent = stream.write_all(&request);
             let written = start.elapsed();
-            match sent.as_ref().ok().and_then(|()| read_message(&mut stream)) {
+            match sent.as_ref().ok().and_then(|()| read_whole_message(&mut stream)) {
                 Some(head) if head.starts_with("http/1.1 200") => {
                     assert!(head.contains(&format!("content-length: {}\r\n", self.body)), "{head}");
                     served += 1;
@@ -399,85 +264,3 @@
         assert_eq!(served, limits.clients(), "{statuses:?}");
     }
 }
-
-/// Requests that one client sends at full speed; `{n}` is a new number for each.
-const FLOODS: [&str; 5] = [
-    "GET /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: f{n}\r\nX-Class: read\r\nX-Deadline-Ms: 500\r\n\r\n",
-    "POST /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: f{n}\r\nX-Class: log\r\nIdempotency-Key: k{n}\r\nX-Deadline-Ms: 500\r\nContent-Length: 3\r\n\r\nabc",
-    "GET /api HTTP/1.1\r\nHost: h{n}\r\nX-Request-Id: f{n}\r\nX-Class: class-{n}\r\nX-Deadline-Ms: 500\r\n\r\n",
-    "GET /elsewhere-{n} HTTP/1.1\r\nHost: a\r\n\r\n",
-    "no request {n}\r\n\r\n",
-];
-
-/// Sends `flood` as fast as it can, on one connection at a time, and reads the answers or not.
-fn flood(address: SocketAddr, flood: &str, reads: bool, stop: &AtomicBool) {
-    let mut n = 0;
-    while !stop.load(Ordering::Relaxed) {
-        let mut stream = connect(address, 64 << 10);
-        let mut answers = stream.try_clone().expect("a second handle");
-        stream.set_write_timeout(Some(Duration::from_millis(200))).expect("a time");
-        let reading = std::thread::spawn(move || {
-            while reads && answers.read(&mut [0; 32 << 10]).is_ok_and(|n| n > 0) {}
-        });
-        while !stop.load(Ordering::Relaxed) {
-            let next = |_| {
-                n += 1;
-                flood.replace("{n}", &n.to_string())
-            };
-            let text: String = (0..100).map(next).collect();
-            if stream.write_all(text.as_bytes()).is_err() {
-                break;
-            }
-        }
-        let _ = stream.shutdown(std::net::Shutdown::Both);
-        reading.join().expect("a reader");
-    }
-}
-
-/// Guards against one client at full speed keeping others from their answers, or taking ever more memory.
-#[test]
-fn client_at_full_speed_delays_nobody_and_takes_no_more_memory() {
-    let limits = limits(32, 256);
-    for (text, reads) in FLOODS.into_iter().flat_map(|text| [(text, true), (text, false)]) {
-        let node = limits.start(start_upstream(answer_each));
-        let address = node.address;
-        let flooding = Clients::start(1, move |_, stop| flood(address, text, reads, stop));
-        let (start, mut client, mut delayed) = (Instant::now(), node.client(), Vec::new());
-        let (mut asked, mut most) = (0, 0);
-        while start.elapsed() < Duration::from_millis(1500) {
-            let sent = Instant::now();
-            let answer = client.ask(&read(&format!("r{asked}"), 1000));
-            asked += 1;
-            if answer.status() != 200 {
-                delayed.push((answer.first.clone(), sent.elapsed()));
-            }
-            if answer.header("connection") == "close" {
-                client = node.client();
-            }
-            most = most.max(private_memory(&node));
-            std::thread::sleep(Duration::from_millis(10));
-        }
-        drop(flooding);
-        assert!(asked > 20 && delayed.is_empty(), "{text:?}, {reads}: {asked} asked, {delayed:?}");
-        assert_within(most, limits, &format!("{text:?}, {reads}"));
-    }
-}
-
-/// Guards against what is read behind requests in flight adding up.
-#[test]
-fn pipelined_requests_on_all_connections_stay_within_the_memory_limit() {
-    for limits in [limits(32, 256), limits(32, 1024)] {
-        let upstream = start_upstream(|mut stream| {
-            while read_message(&mut stream).is_some() {
-                std::thread::sleep(Duration::from_millis(100));
-                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
-            }
-        });
-        let node = limits.start(upstream);
-        let address = node.address;
-        let (post, clients) = (FLOODS[1], limits.clients());
-        let clients = Clients::start(clients, move |_, stop| flood(address, post, true, stop));
-        let most = clients.most_memory(&node, Duration::from_secs(2));
-        assert_within(most, limits, "pipelined requests");
-    }
-}
--- a/tests/uploads.rs
+++ b/tests/uploads.rs
@@ -1,5 +1,6 @@
 //! Request bodies that an upstream reads slowly, with pauses, or not to the end: on real processes, by real clocks.
 
+#[allow(dead_code)] // Each test file uses a part of the helpers.
 mod load;
 #[allow(dead_code)] // Each test file uses a part of the stubs.
 mod stubs;
