--- a/review/src-3/lab.rs
+++ b/review/src-3/lab.rs
@@ -421,7 +421,7 @@
     }
 }
 
-fn read_head(reader: &mut impl BufRead) -> io::Result<Option<Head>> {
+pub fn read_head(reader: &mut impl BufRead) -> io::Result<Option<Head>> {
     let mut lines = Vec::new();
     loop {
         let mut line = String::new();
@@ -529,6 +529,26 @@
     }
 }
 
+impl Upstream {
+    /// `serve` has each connection to itself, with its number.
+    pub fn start_raw<S>(name: &str, serve: S) -> Upstream
+    where
+        S: Fn(usize, TcpStream) -> io::Result<()> + Send + Sync + 'static,
+    {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(&format!("upstream: {e}")));
+        let address = listener.local_addr().unwrap_or_else(|e| cannot_run(&format!("upstream: {e}")));
+        let (serve, connections) = (Arc::new(serve), Arc::new(AtomicUsize::new(0)));
+        let counted = connections.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (serve, connection) = (serve.clone(), counted.fetch_add(1, Ordering::SeqCst));
+                std::thread::spawn(move || drop(serve(connection, stream)));
+            }
+        });
+        Upstream { name: name.to_owned(), address, connections }
+    }
+}
+
 fn serve<E, W>(
     stream: TcpStream,
     connection: usize,
--- a/review/src-3/second_answer.rs
+++ b/review/src-3/second_answer.rs
@@ -4,6 +4,7 @@
 #[path = "lab.rs"]
 mod lab;
 
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -15,19 +16,31 @@
 const CLIENTS: usize = 12;
 const LENGTH_S: u64 = 20;
 /// One answer in so many comes twice.
-const ONE_IN: usize = 100;
+const ONE_IN: usize = 97;
 const LATE_MS: u64 = 4;
+/// One request in so many is turned away: the queue is full.
+const FULL_ONE_IN: usize = 19;
+const AWAY_MS: u64 = 10;
 const WORK_MS: u64 = 40;
 
 fn main() {
     open_record();
     let twice = Arc::new(AtomicUsize::new(0));
+    // How often each request was worked on.
+    let runs = Arc::new(Mutex::new(BTreeMap::new()));
     let mut entries = Vec::new();
     for n in 0..UPSTREAMS {
-        let (name, twice) = (format!("s-{n}"), twice.clone());
+        let (name, twice, runs) = (format!("s-{n}"), twice.clone(), runs.clone());
         let upstream = Upstream::start(&name.clone(), move |received, stream| {
-            pause(WORK_MS);
-            let answer = ok(&format!("made for {}", received.id()));
+            let answer = if received.number % FULL_ONE_IN == FULL_ONE_IN - 1 {
+                pause(AWAY_MS);
+                record(&format!("{name}: turned away {}", received.id()));
+                "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n".to_owned()
+            } else {
+                pause(WORK_MS);
+                *runs.lock().expect("not poisoned").entry(received.id().to_owned()).or_insert(0) += 1;
+                ok(&format!("made for {}", received.id()))
+            };
             stream.write_all(answer.as_bytes())?;
             if trouble() && received.number % ONE_IN == ONE_IN - 1 {
                 pause(LATE_MS);
@@ -108,11 +121,15 @@
     if served < 500 {
         cannot_run("too few requests were served");
     }
-    match foreign.first() {
-        None => finish(HELD, "held: each client got the answer to its own request"),
-        Some((id, body)) => finish(
-            BROKEN,
-            &format!("broken: {} clients got an answer to another request; {id} got {body:?}", foreign.len()),
-        ),
+    let runs = runs.lock().expect("not poisoned");
+    let again: Vec<_> = runs.iter().filter(|(_, n)| **n > 1).collect();
+    for (id, n) in &again {
+        record(&format!("{id} was worked on {n} times"));
+    }
+    say(&format!("{} clients got an answer to another request; {} requests ran twice", foreign.len(), again.len()));
+    match (again.first(), foreign.first()) {
+        (Some((id, _)), _) => finish(BROKEN, &format!("broken: {id}, an order that must never run twice, ran twice")),
+        (None, Some((id, body))) => finish(BROKEN, &format!("broken: {id} got the answer {body:?}")),
+        (None, None) => finish(HELD, "held: each client got the answer to its own request, and no request ran twice"),
     }
 }
