--- a/review/src-3/lab.rs
+++ b/review/src-2/lab.rs
@@ -1,4 +1,4 @@
-//! What the cases of this review share: the program as the deploy file starts it, and stand-ins for discovery, upstreams
+//! What the tests of this review's last sitting share: the program as the deploy file starts it, and stand-ins for discovery, upstreams
 //! and clients, as PROTOCOL describes them. The standard library only; loopback addresses only.
 #![allow(dead_code)]
 
@@ -6,9 +6,9 @@
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicI32, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex, OnceLock};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -42,15 +42,24 @@
 static START: OnceLock<Instant> = OnceLock::new();
 static RECORD: OnceLock<Mutex<File>> = OnceLock::new();
 
-/// Opens `record.txt` in the folder of the case, which `run.sh` names in `CASE_DIR`.
+/// The folder of the case, two levels below the root: the first argument, given by `run.sh`.
+fn folder() -> PathBuf {
+    let folder = std::env::args().nth(1).unwrap_or_else(|| cannot_run("no folder is named"));
+    PathBuf::from(folder)
+}
+
+/// Opens `record.txt` in the folder of the case.
 pub fn open_record() {
     START.get_or_init(Instant::now);
-    let dir = std::env::var("CASE_DIR").unwrap_or_else(|_| ".".into());
-    match File::create(Path::new(&dir).join("record.txt")) {
+    let dir = folder();
+    match File::create(dir.join("record.txt")) {
         Ok(file) => drop(RECORD.set(Mutex::new(file))),
         Err(cause) => cannot_run(&format!("record.txt: {cause}")),
     }
     record(&format!("trouble: {}", if trouble() { "yes" } else { "no" }));
+    for number in [1, 2, 15] {
+        unsafe { signal(number, on_signal as *const () as usize) };
+    }
     // A fault of this test is no verdict, and leaves no process behind.
     std::panic::set_hook(Box::new(|info| cannot_run(&format!("{info}"))));
     std::thread::spawn(|| {
@@ -90,13 +99,35 @@
 
 // ---- processes ----
 
+unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+    fn signal(number: i32, handler: usize) -> usize;
+    fn _exit(code: i32) -> !;
+}
+
+/// The processes that were started, for the end of a test that is itself ended by a signal.
+static STARTED: [AtomicI32; 16] = [const { AtomicI32::new(0) }; 16];
+
+extern "C" fn on_signal(_: i32) {
+    for pid in &STARTED {
+        let pid = pid.load(Ordering::SeqCst);
+        if pid > 0 {
+            unsafe { kill(pid, 9) };
+        }
+    }
+    unsafe { _exit(NOT_RUN) }
+}
+
 static CHILDREN: Mutex<Vec<(u32, Child)>> = Mutex::new(Vec::new());
 
 fn end_all() {
     let mut children = CHILDREN.lock().expect("not poisoned");
-    for (_, child) in children.iter_mut() {
+    for (pid, child) in children.iter_mut() {
         let _ = child.kill();
         let _ = child.wait();
+        for started in STARTED.iter().filter(|s| s.load(Ordering::SeqCst) == *pid as i32) {
+            started.store(0, Ordering::SeqCst);
+        }
     }
     children.clear();
     if let Some(dir) = TEMP.get() {
@@ -127,7 +158,7 @@
 }
 
 fn root() -> PathBuf {
-    std::env::var("ROOT").map_or_else(|_| PathBuf::from("."), PathBuf::from)
+    folder().join("../..")
 }
 
 /// The value of a key of the deploy file.
@@ -201,6 +232,9 @@
             .spawn()
             .unwrap_or_else(|e| cannot_run(&format!("start: {e}")));
         let pid = child.id();
+        if let Some(free) = STARTED.iter().find(|started| started.load(Ordering::SeqCst) == 0) {
+            free.store(pid as i32, Ordering::SeqCst);
+        }
         CHILDREN.lock().expect("not poisoned").push((pid, child));
         record(&format!("started {} as process {pid} at {}", setup.name, setup.listen));
         Proxy { pid, listen: setup.listen, management: setup.management, log, config }
