--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,8 +5,8 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for case in next_request late_agent slow_upload scraped crowd \
-    rollback_balancers sweep_stale hung_upload slow_discovery stream coding; do
+for case in next_request overlap_memory slow_upload late_agent crowd \
+    scraped rollback_balancers sweep_stale hung_upload slow_discovery stream coding; do
     rustc --edition 2024 -O -o "target/review-2/$case" "review/src-2/$case.rs"
 done
 [ -x target/release/hollowpaddle ] || echo "the program is not built yet: deploy/balancer.toml has the command" >&2
