A request that ends late leaves the next one on its connection alone

Cause: the task that drains the refused body holds the RequestGuard, whose drop set the connection to Idle whichever request was in flight; hyper begins the next one before that task runs. Change: requests are numbered on their connection, and only the newest changes its state. A piece that ends a request and begins the next head leaves the connection receiving a head, not idle; while a refused body is drained, a quiesce does not close the connection.

--- a/src/bin/hollowpaddle/bodies/request.rs
+++ b/src/bin/hollowpaddle/bodies/request.rs
@@ -66,7 +66,7 @@
         memory: BufferMemory,
     ) -> Rc<Self> {
         let size = body.size_hint().exact();
-        Rc::new(Self {
+        let body = Rc::new(Self {
             input_start: input.read(),
             read_with_head: Cell::new(0),
             input,
@@ -84,14 +84,33 @@
             changed: Notify::new(),
             consumed: Cell::new(false),
             slot: PieceSlot::default(),
-        })
+        });
+        if body.is_complete() {
+            body.input.record_end(body.more_was_read());
+        }
+        body
     }
 
     fn end(&self, how: Result<(), BodyError>) {
         self.ended.set(Some(how));
+        if how.is_ok() {
+            self.input.record_end(self.more_was_read());
+        }
         self.changed.notify_waiters();
     }
 
+    /// Whether more than the body, which has ended, was read from the client. Of a body that came with its head, only its end
+    /// can tell.
+    fn more_was_read(&self) -> bool {
+        match self.size {
+            Some(size @ 1..) => {
+                let since_head = self.input.read() - self.input_start;
+                since_head + self.read_with_head.get() > size
+            }
+            _ => !self.input.read_ends_with_empty_line(),
+        }
+    }
+
     /// The next chunk from the client; `None` at the end of the body.
     fn poll_client(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
         if let Some(how) = self.ended.get() {
--- a/src/bin/hollowpaddle/client_connection.rs
+++ b/src/bin/hollowpaddle/client_connection.rs
@@ -91,8 +91,15 @@
     /// The number of bytes that hyper has read, and the last of them.
     bytes_read: Cell<u64>,
     tail: Cell<Tail>,
+    /// The number of requests that have begun on the connection. The newest alone may change the connection's state when it
+    /// ends: hyper may begin the next request before the task that reads the rest of the one before.
+    requests_begun: Cell<u64>,
     /// Whether all of the request in flight was received, so that what arrives now belongs to further ones.
     request_received: Cell<bool>,
+    /// Whether the request in flight is answered and the rest of its body still comes.
+    draining: Cell<bool>,
+    /// Whether hyper has read a part of the next request's head, behind the request in flight.
+    next_head_begun: Cell<bool>,
     read_behind: RefCell<ReadBehind>,
     /// The task that waits for input, while hyper reads.
     reader: RefCell<Option<Waker>>,
@@ -119,7 +126,10 @@
             reading: Cell::new(true),
             bytes_read: Cell::new(0),
             tail: Cell::default(),
+            requests_begun: Cell::new(0),
             request_received: Cell::new(false),
+            draining: Cell::new(false),
+            next_head_begun: Cell::new(false),
             read_behind: RefCell::new(ReadBehind::new(memory)),
             reader: RefCell::default(),
         }
@@ -129,6 +139,9 @@
     pub fn begin_request(self: &Rc<Self>) -> RequestGuard {
         self.has_served.set(true);
         self.request_received.set(false);
+        self.draining.set(false);
+        self.next_head_begun.set(false);
+        self.requests_begun.set(self.requests_begun.get() + 1);
         let began = match self.state.replace(State::Served) {
             State::Silent(since) | State::Asking(since) => since,
             // Pipelined: its head was read together with the request before.
@@ -136,12 +149,26 @@
         };
         RequestGuard {
             connection: self.clone(),
+            number: self.requests_begun.get(),
             began,
             waited_since: self.waited_since.take(),
             submitted: Cell::new(false),
         }
     }
 
+    /// Ends the request in flight: the connection waits for the next one, or receives its head already.
+    fn end_request(&self) {
+        self.draining.set(false);
+        let now = Instant::now();
+        let next = if self.next_head_begun.take() { State::Asking(now) } else { State::Idle(now) };
+        self.state.set(next);
+    }
+
+    /// Whether this is the number of the newest request.
+    fn is_newest(&self, request: u64) -> bool {
+        self.requests_begun.get() == request
+    }
+
     /// Whether the connection holds memory for a long head, and should be closed after the response.
     pub fn holds_long_head(&self) -> bool {
         self.long_head.get()
@@ -210,9 +237,12 @@
     /// request may have arrived, read or unread.
     pub fn close_facts(&self, socket: &Socket) -> CloseFacts {
         let has_served = self.has_served.get();
+        // The answer to a request whose body is drained may have promised that the connection stays open.
+        let next_may_have_begun =
+            matches!(self.state.get(), State::Asking(_)) || self.draining.get();
         CloseFacts {
             client_closed: socket.peer_closed(),
-            unanswered: has_served && matches!(self.state.get(), State::Asking(_)),
+            unanswered: has_served && next_may_have_begun,
             unread: has_served
                 && matches!(self.state.get(), State::Idle(_))
                 && self.has_unread_bytes(socket),
@@ -298,6 +328,8 @@
 /// Marks a request as in flight on its connection until dropped.
 pub struct RequestGuard {
     connection: Rc<ClientConnection>,
+    /// The request's number on its connection.
+    number: u64,
     began: Instant,
     waited_since: Option<Instant>,
     submitted: Cell<bool>,
@@ -321,12 +353,21 @@
 
     /// Records that all of the request was received.
     pub fn record_received(&self) {
-        self.connection.request_received.set(true);
+        if self.connection.is_newest(self.number) {
+            self.connection.request_received.set(true);
+        }
+    }
+
+    /// Records that the request is answered and the rest of its body is read only to be discarded.
+    pub fn record_draining(&self) {
+        if self.connection.is_newest(self.number) {
+            self.connection.draining.set(true);
+        }
     }
 
     /// The input of the request's connection, whose peer is `peer`.
     pub fn input(&self, peer: Peer) -> ClientInput {
-        ClientInput::new(self.connection.clone(), peer)
+        ClientInput::new(self.connection.clone(), self.number, peer)
     }
 
     /// How long the client may take to start sending its body.
@@ -338,7 +379,9 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.connection.state.set(State::Idle(Instant::now()));
+        if self.connection.is_newest(self.number) {
+            self.connection.end_request();
+        }
     }
 }
 
--- a/src/bin/hollowpaddle/client_connection/input.rs
+++ b/src/bin/hollowpaddle/client_connection/input.rs
@@ -10,13 +10,15 @@
 #[derive(Clone)]
 pub struct ClientInput {
     connection: Rc<ClientConnection>,
+    /// The number of the request on its connection.
+    request: u64,
     peer: Peer,
 }
 
 impl ClientInput {
-    /// The input of a connection, whose peer is `peer`.
-    pub fn new(connection: Rc<ClientConnection>, peer: Peer) -> Self {
-        Self { connection, peer }
+    /// The input of the connection's request with this number; its peer is `peer`.
+    pub fn new(connection: Rc<ClientConnection>, request: u64, peer: Peer) -> Self {
+        Self { connection, request, peer }
     }
 
     /// Whether the client has closed its write side or the connection, or the connection is closed on this side. What arrived
@@ -37,6 +39,19 @@
         self.read() + behind as u64 + self.peer.unread_bytes()
     }
 
+    /// Records that the request's last byte was read, and whether hyper has read more than that. It belongs to the head of the
+    /// next request, which has not begun as long as this one is the newest.
+    pub fn record_end(&self, more_was_read: bool) {
+        if self.connection.is_newest(self.request) {
+            self.connection.next_head_begun.set(more_was_read);
+        }
+    }
+
+    /// Whether the last bytes that hyper has read are an empty line.
+    pub fn read_ends_with_empty_line(&self) -> bool {
+        self.connection.tail.get().is_empty_line()
+    }
+
     /// Whether the last bytes received are an empty line, with which chunked bodies end.
     pub fn ends_with_empty_line(&self) -> bool {
         let read = self.connection.read_behind.borrow().tail();
--- a/src/bin/hollowpaddle/client_connection/observed_stream.rs
+++ b/src/bin/hollowpaddle/client_connection/observed_stream.rs
@@ -19,16 +19,20 @@
     pub connection: Rc<ClientConnection>,
     pub reader: PieceReader,
     pub head_gate: HeadGate,
+    /// The request that the gate has counted the head behind.
+    pub gated_behind: Option<u64>,
     pub engine: Handle,
 }
 
 impl ObservedStream {
     /// Waits for memory if a long head is being read. The time that this takes is not the client's.
     fn poll_head_gate(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        match self.connection.state.get() {
-            State::Served => return Poll::Ready(()),
-            State::Silent(_) | State::Idle(_) => self.head_gate.restart(),
-            State::Asking(_) => {}
+        if matches!(self.connection.state.get(), State::Served) {
+            return Poll::Ready(());
+        }
+        let behind = Some(self.connection.requests_begun.get());
+        if std::mem::replace(&mut self.gated_behind, behind) != behind {
+            self.head_gate.restart();
         }
         let open = self.head_gate.poll_open(cx);
         let arrived = open.is_pending().then(|| self.engine.earliest_arrival());
--- a/src/bin/hollowpaddle/client_connection/tests.rs
+++ b/src/bin/hollowpaddle/client_connection/tests.rs
@@ -45,3 +45,34 @@
     assert_eq!(connection.begin_request().arrived(now), arrived);
     assert_eq!(connection.begin_request().arrived(now), now, "the next one did not wait");
 }
+
+/// Guards against a request that ends late, because its body is still drained, changing the state of the next one.
+#[test]
+fn request_that_ends_late_leaves_the_next_one_in_flight() {
+    let connection = Rc::new(ClientConnection::new(None, BufferMemory::new(0)));
+    let drained = connection.begin_request();
+    let input = drained.input(Peer::default());
+    let next = connection.begin_request();
+    input.record_end(true);
+    drained.record_received();
+    drained.record_draining();
+    drop(drained);
+    assert_eq!(connection.expires_at(Room::Full), None, "the next request is in flight");
+    assert!(!connection.request_received.get(), "its body is still to come");
+    assert!(!connection.draining.get(), "it is not answered");
+    assert!(!connection.next_head_begun.get(), "nothing came behind it");
+    drop(next);
+    assert!(matches!(connection.state.get(), State::Idle(_)));
+}
+
+/// Guards against a connection counting as idle whose next request has begun in the piece that ended the last one.
+#[test]
+fn connection_with_a_part_of_the_next_head_is_not_idle() {
+    let connection = Rc::new(ClientConnection::new(None, BufferMemory::new(0)));
+    let request = connection.begin_request();
+    request.input(Peer::default()).record_end(true);
+    drop(request);
+    assert!(matches!(connection.state.get(), State::Asking(_)));
+    drop(connection.begin_request());
+    assert!(matches!(connection.state.get(), State::Idle(_)), "nothing came behind the next one");
+}
--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -248,6 +248,7 @@
             connection: client.clone(),
             reader: self.memory.reader(),
             head_gate: self.memory.request_head_gate(),
+            gated_behind: None,
             engine: self.engine.clone(),
         };
         let connection =
@@ -469,6 +470,7 @@
 fn drain(body: Rc<RequestBody>, guard: &Rc<RequestGuard>) {
     if body.is_coming() {
         let guard = guard.clone();
+        guard.record_draining();
         tokio::task::spawn_local(async move {
             body.drain().await;
             drop(guard);
--- a/src/bin/hollowpaddle/engine/tests.rs
+++ b/src/bin/hollowpaddle/engine/tests.rs
@@ -107,7 +107,7 @@
                 headers: HeaderMap::new(),
                 body: Payload { kept, length: Some(1), ..Payload::default() },
                 until: Cell::new(until),
-                client: ClientInput::new(connection, client.peer()),
+                client: ClientInput::new(connection, 0, client.peer()),
             };
             let from = Instant::now();
             let reply = timeout(deadline * MS, handle.submit(arrival, forward, || ())).await;
--- a/src/bin/hollowpaddle/upstreams/tests.rs
+++ b/src/bin/hollowpaddle/upstreams/tests.rs
@@ -30,7 +30,7 @@
         headers: HeaderMap::new(),
         body: Payload { kept: Bytes::from_static(b"0123456789"), ..Payload::default() },
         until: Cell::new(Instant::now()),
-        client: ClientInput::new(connection, Peer::default()),
+        client: ClientInput::new(connection, 0, Peer::default()),
     });
     let nowhere = Target {
         address: Cell::new(SocketAddr::from(([127, 0, 0, 1], 1))),
--- a/tests/streams/mod.rs
+++ b/tests/streams/mod.rs
@@ -520,3 +520,71 @@
     );
     assert!(receiver.try_recv().is_err(), "another request reached the upstream");
 }
+
+/// The size of the end of an early refused body, and of the part of the next request's body that comes with it.
+const LAST_PIECE_BYTES: usize = 2048;
+
+/// Sends a request that is refused while the end of its body is still to come; returns its connection, and that end.
+fn send_until_refused(node: &Node) -> (Client, String) {
+    let text = alarm("refused", 5000, &"a".repeat(96 << 10));
+    let (first, last) = text.split_at(text.len() - LAST_PIECE_BYTES);
+    let mut client = node.client();
+    client.send(first);
+    let refused = client.answer().expect("a refusal");
+    assert_eq!(refused.status(), 503);
+    assert!(refused.header("connection") != "close", "the connection stays open");
+    (client, last.to_owned())
+}
+
+/// An upstream that turns requests `refused` away before it has read their bodies, and answers others after this time.
+fn start_refusing_upstream(time: Duration) -> SocketAddr {
+    start_upstream(move |head, reader| {
+        if head.contains("x-request-id: refused") {
+            let answer =
+                "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+            let _ = reader.get_mut().write_all(answer.as_bytes());
+        }
+        let (_, complete) = read_body(reader, head);
+        if complete && !head.contains("x-request-id: refused") {
+            std::thread::sleep(time);
+            let _ = reader.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        }
+    })
+}
+
+/// Guards against the end of a refused request's body ending the next request, which began in the same piece (review/6).
+#[test]
+fn request_that_begins_in_the_last_piece_of_a_refused_one_is_answered() {
+    let upstream = start_refusing_upstream(Duration::from_millis(2600));
+    let mut file = config(vec![member("s-0", upstream, "SERVING")]);
+    file["settings"]["Services"][2]["Aim"] = serde_json::Value::from(5000.0);
+    let node = Node::start(&file);
+    let (mut client, last) = send_until_refused(&node);
+    let next = alarm("next", 5000, &"b".repeat(48 << 10));
+    let (first, rest) = next.split_at(next.len() - (40 << 10));
+    client.send(&(last + first));
+    std::thread::sleep(Duration::from_millis(100));
+    client.send(rest);
+    assert_eq!(client.answer().map(|answer| answer.status()), Some(200));
+}
+
+/// Guards against a connection being closed as idle that holds a part of the next head, or whose refused request is still
+/// received.
+#[test]
+fn request_that_begins_behind_a_refused_one_is_answered_by_a_quiesced_proxy() {
+    let longer_than_linger = Duration::from_millis(1800);
+    for begun in [0, 40] {
+        let upstream = start_refusing_upstream(Duration::ZERO);
+        let node = Node::managed(&config(vec![member("s-0", upstream, "SERVING")]));
+        let (mut client, last) = send_until_refused(&node);
+        let next = read("next", 5000);
+        let (first, rest) = next.split_at(begun);
+        if begun > 0 {
+            client.send(&(last.clone() + first));
+        }
+        assert_eq!(node.call("POST /admin/quiesce").status(), 200);
+        std::thread::sleep(longer_than_linger);
+        client.send(&if begun > 0 { rest.to_owned() } else { last + rest });
+        assert_eq!(client.answer().map(|a| a.status()), Some(200), "{begun} bytes came before");
+    }
+}
