A request's time starts when its client last had more to write, not with what moves

Cause: up to 4 MiB wait unseen in the client's kernel. While some of a body was missing and some of it moved, nothing was due (BodyArrival::due), and a body that stopped was due 1.5 s later at the earliest. Change: a body is due its time after the last moment at which the client certainly had more to write: more than 4 MiB missing, the client waited for, or all that is there read and nothing left, twice in a row. Else since the start of the body, the backlog included.

--- a/src/bin/hollowpaddle/bodies/mod.rs
+++ b/src/bin/hollowpaddle/bodies/mod.rs
@@ -2,7 +2,6 @@
 
 mod last_byte;
 mod pace;
-mod read_ahead;
 mod request;
 mod response;
 mod upstream_request;
--- a/src/bin/hollowpaddle/bodies/pace.rs
+++ b/src/bin/hollowpaddle/bodies/pace.rs
@@ -32,6 +32,11 @@
         self.since.is_some()
     }
 
+    /// For how long the client has been waited for; `None` if it is not.
+    pub(super) fn waiting_time(&self) -> Option<Duration> {
+        self.since.map(|since| since.elapsed())
+    }
+
     /// Records the receipt of `bytes`, which earn time.
     pub(super) fn record_received(&mut self, bytes: usize) {
         if let Some(since) = self.since.take() {
--- a/src/bin/hollowpaddle/bodies/request.rs
+++ b/src/bin/hollowpaddle/bodies/request.rs
@@ -4,29 +4,31 @@
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, Waker, ready};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use tokio::sync::Notify;
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, timeout};
 
-use super::last_byte::BodyArrival;
+use super::last_byte::{BodyArrival, CatchUp, UnfinishedSightings};
 use super::pace::Pace;
-use super::read_ahead::Movement;
 use super::{BodyBuffer, BodyError, MAX_REQUEST_BODY_BYTES};
-use crate::client_connection::ClientInput;
-use crate::memory::{BlockQueue, BufferMemory, PieceSlot, Reservation};
+use crate::client_connection::{ClientInput, ReadOn};
+use crate::memory::{PieceSlot, Reservation};
 
 /// How long the rest of a body is read after its request was answered, if it keeps the minimum rate.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(20);
-/// How often the arrival of a body is observed while its upstream does not read it.
+/// How often the arrival of a body is observed.
 const OBSERVE_INTERVAL: Duration = Duration::from_millis(25);
-/// What is read ahead of one body is at most this part of the memory.
-const READ_AHEAD_SHARE_DIVISOR: usize = 16;
-/// Limit of one run of reading ahead.
-const READ_AHEAD_TIMEOUT: Duration = Duration::from_millis(25);
+/// How much is read on before the client's kernel gets time to send.
+const PIECES_PER_TURN: usize = 2;
+/// No more is read ahead while so much is.
+const MAX_READ_AHEAD: usize = 32 << 10;
+/// A client that was waited for so long has no more in its kernel.
+const MIN_WAIT: Duration = Duration::from_millis(10);
 
 /// The body of a request as received from its client.
 pub struct RequestBody {
@@ -40,14 +42,7 @@
     size: Option<u64>,
     pace: RefCell<Pace>,
     arrival: RefCell<BodyArrival>,
-    /// Whether its upstream has been slower than the client since the client was last waited for.
-    held_back: Cell<bool>,
-    ahead: RefCell<BlockQueue>,
-    reading_ahead: Cell<bool>,
-    /// The upstream connection that waits for more of the body.
-    sender: RefCell<Option<Waker>>,
     read: Cell<u64>,
-    passed_on: Cell<u64>,
     ended: Cell<Option<Result<(), BodyError>>>,
     changed: Notify,
     /// Part of it was passed to an upstream without being buffered, so that it cannot be sent again.
@@ -57,30 +52,19 @@
 }
 
 impl RequestBody {
-    /// The client has `patience` to send the first bytes. What is read before an upstream takes it is reserved from
-    /// `memory`.
-    pub fn new(
-        body: Incoming,
-        input: ClientInput,
-        patience: Duration,
-        memory: BufferMemory,
-    ) -> Rc<Self> {
+    /// A body whose first byte was not written before `start`; its client has `patience` to send it.
+    pub fn new(body: Incoming, input: ClientInput, start: Instant, patience: Duration) -> Rc<Self> {
         let size = body.size_hint().exact();
         let body = Rc::new(Self {
             input_start: input.read(),
             read_with_head: Cell::new(0),
             input,
             size,
-            arrival: RefCell::new(BodyArrival::new(size, Instant::now())),
+            arrival: RefCell::new(BodyArrival::new(size, start)),
             ended: Cell::new(body.is_end_stream().then_some(Ok(()))),
             body: RefCell::new(body),
-            ahead: RefCell::new(BlockQueue::new(memory, READ_AHEAD_SHARE_DIVISOR)),
-            held_back: Cell::new(false),
-            reading_ahead: Cell::new(false),
-            sender: RefCell::default(),
             pace: RefCell::new(Pace::new(patience)),
             read: Cell::new(0),
-            passed_on: Cell::new(0),
             changed: Notify::new(),
             consumed: Cell::new(false),
             slot: PieceSlot::default(),
@@ -129,8 +113,6 @@
                     self.end(Ok(()));
                     return Poll::Ready(None);
                 }
-                // The client is not waited for while no upstream would take more.
-                Poll::Pending if self.reading_ahead.get() => return Poll::Pending,
                 Poll::Pending => {
                     ready!(self.pace.borrow_mut().poll_expired(cx));
                     break Err(BodyError::Slow);
@@ -164,45 +146,44 @@
 
     /// The next part for an upstream; `None` at the end of the body.
     pub(super) fn poll_next(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
-        let ahead = self.ahead.borrow_mut().pop();
-        let next = match ahead {
-            Some(block) => Some(Ok(block)),
-            None => match self.poll_client(cx) {
-                // A copy, because a piece may share the larger read buffer that it arrived in.
-                Poll::Ready(next) => next.map(|piece| piece.map(|p| Bytes::copy_from_slice(&p))),
-                Poll::Pending => {
-                    self.sender.replace(Some(cx.waker().clone()));
-                    return Poll::Pending;
-                }
-            },
-        };
-        if let Some(Ok(piece)) = &next {
-            self.passed_on.set(self.passed_on.get() + piece.len() as u64);
-        }
-        Poll::Ready(next)
+        // A copy, because a piece may share the larger read buffer that it arrived in.
+        let next = self.poll_client(cx);
+        next.map(|next| next.map(|piece| piece.map(|p| Bytes::copy_from_slice(&p))))
     }
 
-    /// Observes the arrival of a body whose upstream reads more slowly than its client writes. A part is read ahead, as far
-    /// as there is memory, since otherwise its client's kernel holds it unseen. The request has `time` after its last byte.
-    /// Returns once the body has ended.
-    pub async fn observe_arrival(&self, time: Duration) {
-        let start = Instant::now();
+    /// Observes the arrival of the body until it has ended.
+    pub async fn observe_arrival(&self) {
+        let mut sightings = UnfinishedSightings::default();
         while self.is_coming() {
-            let passed_on = self.passed_on.get();
+            self.record_arrival();
+            if !self.was_waited_for() && self.input.read_ahead() < MAX_READ_AHEAD {
+                let start = Instant::now();
+                let seen = self.catch_up().await;
+                if let Some(unfinished) = sightings.record(start, seen) {
+                    self.arrival.borrow_mut().record_unfinished(unfinished);
+                }
+            }
             sleep(OBSERVE_INTERVAL).await;
-            let movement = Movement {
-                waits_for_client: self.is_waiting_for_client(),
-                was_taken: self.passed_on.get() > passed_on,
-                passed_on: self.passed_on.get(),
-                elapsed: start.elapsed(),
-                stalled: self.arrival.borrow().stalled_for(Instant::now()),
-            };
-            self.held_back.set(movement.is_held_back(self.held_back.get()));
-            match movement.max_read_ahead(time) {
-                0 => {}
-                limit => self.read_ahead(limit).await,
+        }
+    }
+
+    /// Reads all that the client has written, as far as there is memory.
+    async fn catch_up(&self) -> CatchUp {
+        let mut pieces = 0;
+        loop {
+            match self.input.read_on() {
+                ReadOn::Piece => pieces += 1,
+                ReadOn::Nothing if self.may_be_received(self.bytes_received()) => {
+                    return CatchUp::Unknown;
+                }
+                ReadOn::Nothing => return CatchUp::ClientHasMore,
+                ReadOn::Unable if pieces == 0 => return CatchUp::Unknown,
+                ReadOn::Unable => return CatchUp::MoreIsHidden,
+            }
+            // Meanwhile the client's kernel sends on. A client that waits for room writes less in this time than is read here.
+            if pieces % PIECES_PER_TURN == 0 {
+                yield_now().await;
             }
-            self.record_arrival();
         }
     }
 
@@ -213,51 +194,41 @@
         self.size.map_or(received, |size| size.min(received))
     }
 
-    /// Records what has arrived by now.
+    /// Whether this machine may have received all of the body, of which it has `received` bytes.
+    fn may_be_received(&self, received: u64) -> bool {
+        self.size.map_or_else(|| self.input.ends_with_empty_line(), |size| received >= size)
+    }
+
+    /// Whether the client has been waited for so long that its kernel holds nothing.
+    fn was_waited_for(&self) -> bool {
+        self.pace.borrow().waiting_time().is_some_and(|waiting| waiting >= MIN_WAIT)
+    }
+
+    /// Records what has arrived by now, and whether its client has more to write.
     fn record_arrival(&self) {
-        let counts = (self.bytes_received(), self.passed_on.get());
-        let hidden = self.held_back.get();
-        let grown = self.arrival.borrow_mut().record(counts, hidden, Instant::now());
-        if self.size.is_none() && (grown || !self.is_coming()) {
-            let ends = !self.is_coming() || self.input.ends_with_empty_line();
-            self.arrival.borrow_mut().record_end(ends);
+        if !self.is_coming() {
+            return;
+        }
+        let now = Instant::now();
+        let received = self.bytes_received();
+        let mut arrival = self.arrival.borrow_mut();
+        arrival.record_received(received, now);
+        if self.was_waited_for() && self.input.is_read() && !self.may_be_received(received) {
+            arrival.record_unfinished(now);
         }
     }
 
-    /// When the last byte was written, as far as it is known, for a request with `time` after it.
-    pub fn arrived_at(&self, time: Duration) -> Instant {
+    /// The earliest time at which the last byte may have been written.
+    pub fn arrived_at(&self) -> Instant {
         self.record_arrival();
-        self.arrival.borrow().arrived_at(time)
+        self.arrival.borrow().arrived_at()
     }
 
-    /// By when the request must be answered if the body stays as it is, with `time` after its last byte; `None` while its
-    /// last byte is certainly to come.
+    /// By when the request must be answered if its client is not seen to write more, with `time` after its last byte; `None`
+    /// while its last byte is certainly to come.
     pub fn due(&self, time: Duration) -> Option<Instant> {
         self.record_arrival();
-        if self.is_waiting_for_client() { None } else { self.arrival.borrow().due(time) }
-    }
-
-    async fn read_ahead(&self, limit: usize) {
-        let read = poll_fn(|cx| self.poll_read_ahead(cx, limit));
-        let _ = timeout(READ_AHEAD_TIMEOUT, read).await;
-        self.ahead.borrow_mut().release_spare();
-        // The upstream's own wake-up may have been replaced by the one of this read.
-        if let Some(sender) = self.sender.take() {
-            sender.wake();
-        }
-    }
-
-    fn poll_read_ahead(&self, cx: &mut Context<'_>, limit: usize) -> Poll<()> {
-        while self.is_coming() && self.ahead.borrow_mut().reserve(limit) {
-            self.reading_ahead.set(true);
-            let next = self.poll_client(cx);
-            self.reading_ahead.set(false);
-            match ready!(next) {
-                Some(Ok(piece)) => self.ahead.borrow_mut().append(&piece),
-                _ => return Poll::Ready(()),
-            }
-        }
-        Poll::Ready(())
+        self.arrival.borrow().due(time)
     }
 
     /// Reads the body into `buffer` until it ends or the buffer is full. The result holds what is `reserved`, if given.
@@ -280,11 +251,6 @@
         self.ended.get() == Some(Ok(()))
     }
 
-    /// Whether all of it was received and passed on.
-    pub fn is_passed_on(&self) -> bool {
-        self.is_complete() && self.ahead.borrow().is_empty()
-    }
-
     pub fn is_coming(&self) -> bool {
         self.ended.get().is_none()
     }
@@ -321,7 +287,6 @@
 
     /// Reads and discards the rest of the body, for at most [`DRAIN_TIMEOUT`].
     pub async fn drain(&self) {
-        self.ahead.borrow_mut().clear();
         let rest = async { while let Some(Ok(_)) = poll_fn(|cx| self.poll_client(cx)).await {} };
         let _ = timeout(DRAIN_TIMEOUT, rest).await;
     }
--- a/src/bin/hollowpaddle/bodies/upstream_request.rs
+++ b/src/bin/hollowpaddle/bodies/upstream_request.rs
@@ -77,7 +77,7 @@
             Some(Ok(data)) => {
                 self.due.bytes.set(self.due.bytes.get() + data.len() as u64);
                 // With a known size hyper does not poll again for the end of the body.
-                if rest.is_passed_on() {
+                if rest.is_complete() {
                     self.mark_complete();
                 }
                 self.emit(rest.slot().hold(data))
--- a/src/bin/hollowpaddle/client_connection.rs
+++ b/src/bin/hollowpaddle/client_connection.rs
@@ -21,6 +21,7 @@
 pub use input::ClientInput;
 pub use observed_stream::ObservedStream;
 use read_behind::ReadBehind;
+pub use read_behind::ReadOn;
 
 /// How long a connection may be idle between two requests: with ample room in the connection table, and with little.
 /// Without these limits, peers that sent nothing or only part of a request filled the table, and other clients waited
@@ -252,7 +253,12 @@
     /// Whether hyper has not taken all received bytes. Without this check, a connection was closed on a request that arrived
     /// just as its idle timeout expired or during a process stall.
     fn has_unread_bytes(&self, socket: &Socket) -> bool {
-        !self.read_behind.borrow().is_empty() || socket.unread() == Unread::Bytes
+        self.has_unread_input(socket.unread())
+    }
+
+    /// The same, given what is pending on the socket.
+    fn has_unread_input(&self, pending: Unread) -> bool {
+        !self.read_behind.borrow().is_empty() || pending == Unread::Bytes
     }
 
     /// Waits until the peer has closed its end while a request is in flight and hyper does not read. Must be polled by
@@ -283,10 +289,23 @@
     /// Reads what arrived behind the request in flight, so that a close after it is seen.
     fn read_behind(&self, peer: &Peer) {
         let in_flight = matches!(self.state.get(), State::Served) && self.request_received.get();
-        if in_flight
-            && self.read_behind.borrow_mut().read(peer)
-            && let Some(reader) = self.reader.take()
-        {
+        if in_flight && self.read_behind.borrow_mut().read(peer) {
+            self.wake_reader();
+        }
+    }
+
+    /// Reads one piece of what the client has written.
+    fn read_on(&self, peer: &Peer) -> ReadOn {
+        let read = self.read_behind.borrow_mut().read_on(peer);
+        if read == ReadOn::Piece {
+            self.wake_reader();
+        }
+        read
+    }
+
+    /// Wakes the task that waits for input: some was read past the runtime.
+    fn wake_reader(&self) {
+        if let Some(reader) = self.reader.take() {
             reader.wake();
         }
     }
--- a/src/bin/hollowpaddle/client_connection/input.rs
+++ b/src/bin/hollowpaddle/client_connection/input.rs
@@ -4,7 +4,7 @@
 
 use hollowpaddle::socket::Peer;
 
-use super::ClientConnection;
+use super::{ClientConnection, ReadOn};
 
 /// What a client has sent on its connection, as far as this machine has received it.
 #[derive(Clone)]
@@ -39,6 +39,21 @@
         self.read() + behind as u64 + self.peer.unread_bytes()
     }
 
+    /// Reads one piece of what the client has written, if there is memory for it.
+    pub fn read_on(&self) -> ReadOn {
+        self.connection.read_on(&self.peer)
+    }
+
+    /// The number of bytes that were read on and not yet used.
+    pub fn read_ahead(&self) -> usize {
+        self.connection.read_behind.borrow().len()
+    }
+
+    /// Whether all that was received has been read.
+    pub fn is_read(&self) -> bool {
+        !self.connection.has_unread_input(self.peer.unread())
+    }
+
     /// Records that the request's last byte was read, and whether hyper has read more than that. It belongs to the head of the
     /// next request, which has not begun as long as this one is the newest.
     pub fn record_end(&self, more_was_read: bool) {
--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -376,8 +376,8 @@
             return body_error_response(BodyError::TooLarge, &id);
         }
         let client = guard.input(client);
-        let memory = self.memory.large_pieces.clone();
-        let body = RequestBody::new(body, client.clone(), guard.body_start_timeout(), memory);
+        let start = guard.arrived(self.engine.earliest_arrival());
+        let body = RequestBody::new(body, client.clone(), start, guard.body_start_timeout());
         let kept = match self.buffer_body(&body, length).await {
             Ok(kept) => kept,
             Err(why) => return body_error_response(why, &id),
@@ -390,9 +390,9 @@
             tracing::debug!(request, %denial, "request rejected: client has already closed");
             return empty_response(StatusCode::BAD_REQUEST);
         }
-        // The deadline runs from the request's last byte. If that is still to come, time in the backlog does not count.
+        // The deadline runs from the request's last byte, which may have been written while it waited in the backlog.
         let read = self.engine.earliest_arrival();
-        let arrived = if body.is_complete() { guard.arrived(read) } else { read };
+        let arrived = if body.is_complete() { guard.arrived(read) } else { body.arrived_at() };
         let arrival = match arrival(service_id, service, &head, &kept, arrived) {
             Ok(arrival) => arrival,
             Err(what) => {
--- a/src/bin/hollowpaddle/clients/request_head.rs
+++ b/src/bin/hollowpaddle/clients/request_head.rs
@@ -49,6 +49,7 @@
         class,
         tenant,
         key: cookie(&head.headers, "sid").map(key_hash),
+        time: deadline,
         until: arrived + deadline,
         cost_guess: hint.filter(|us| us.is_finite() && *us > 0.0).map(|us| Span(us as i64)),
         resent: text("x-retry").is_some_and(|v| v == "1"),
--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -344,7 +344,7 @@
         let room = headroom(client_deadline, now);
         let policy_deadline = client_deadline - room;
         let complete = forward.body.rest.as_ref().is_none_or(|r| r.is_complete());
-        let time_after_body = (!complete).then(|| arrival.until.saturating_duration_since(now));
+        let time_after_body = (!complete).then_some(arrival.time);
         let service = arrival.service;
         let pending = PendingRequest {
             service,
--- a/src/bin/hollowpaddle/engine/handle.rs
+++ b/src/bin/hollowpaddle/engine/handle.rs
@@ -46,6 +46,8 @@
     pub class: usize,
     pub tenant: usize,
     pub key: Option<u64>,
+    /// How long the client waits for its answer after it has written the last byte.
+    pub time: Duration,
     /// The client's deadline.
     pub until: Instant,
     pub cost_guess: Option<Span>,
@@ -140,7 +142,6 @@
         let id = RequestId(self.next.replace(self.next.get() + 1));
         let (reply, mut answer) = oneshot::channel();
         let rest = forward.body.rest.clone();
-        let time = arrival.until.saturating_duration_since(Instant::now());
         let _ = self.messages.send(EngineMessage::Arrived {
             id,
             arrival,
@@ -158,7 +159,7 @@
                     let _ = self.messages.send(EngineMessage::BodyComplete(id));
                 }
                 answer = &mut answer => early = Some(answer),
-                () = observe_arrival(&rest, time) => {}
+                () = observe_arrival(&rest) => {}
             }
         }
         let answer = match early {
@@ -171,8 +172,8 @@
 }
 
 /// Observes the arrival of a body for as long as it is polled.
-async fn observe_arrival(body: &RequestBody, time: Duration) {
-    body.observe_arrival(time).await;
+async fn observe_arrival(body: &RequestBody) {
+    body.observe_arrival().await;
     std::future::pending().await
 }
 
--- a/src/bin/hollowpaddle/engine/tests.rs
+++ b/src/bin/hollowpaddle/engine/tests.rs
@@ -95,6 +95,7 @@
                 class: alarm,
                 tenant: 0,
                 key: None,
+                time: deadline * MS,
                 until,
                 cost_guess: None,
                 resent: false,
--- a/src/bin/hollowpaddle/engine/uploads.rs
+++ b/src/bin/hollowpaddle/engine/uploads.rs
@@ -16,8 +16,7 @@
         let Some(time) = pending.time_after_body.take() else { return };
         let now = Instant::now();
         let read = self.lateness.earliest_arrival(now);
-        let arrived =
-            pending.forward.body.rest.as_ref().map_or(read, |b| b.arrived_at(time).min(read));
+        let arrived = pending.forward.body.rest.as_ref().map_or(read, |b| b.arrived_at().min(read));
         let until = arrived + time;
         let client_deadline = self.shutdown_deadline.map_or(until, |by| by.min(until));
         let room = headroom(client_deadline, now);
@@ -90,7 +89,7 @@
     /// or has left, and without the rest it cannot run.
     pub(super) fn end_unfinished_attempts(&mut self, id: RequestId, outcome: Outcome) {
         let Some(pending) = self.requests.get_mut(&id) else { return };
-        if pending.forward.body.rest.as_ref().is_none_or(|rest| rest.is_passed_on()) {
+        if pending.forward.body.rest.as_ref().is_none_or(|rest| rest.is_complete()) {
             return;
         }
         for (attempt, record) in pending.attempts.iter_mut().enumerate() {
--- a/src/bin/hollowpaddle/memory/block_queue.rs
+++ b/src/bin/hollowpaddle/memory/block_queue.rs
@@ -87,12 +87,6 @@
     pub fn is_empty(&self) -> bool {
         self.blocks.is_empty()
     }
-
-    /// Drops everything, and gives its memory back.
-    pub fn clear(&mut self) {
-        self.blocks.clear();
-        self.release_spare();
-    }
 }
 
 #[cfg(test)]
--- a/tests/uploads.rs
+++ b/tests/uploads.rs
@@ -266,6 +266,37 @@
     }
 }
 
+/// Guards against a request that its client has written whole being answered once its upstream has read it, or is given up,
+/// instead of in its time: any size, framing, pace and memory, and short times (review/8).
+#[test]
+fn upload_that_is_written_whole_is_answered_in_its_time() {
+    let readings = [
+        Reading::BytesPerSecond(64e3),
+        Reading::BytesPerSecond(400e3),
+        Reading::StopsAt(20_000),
+        Reading::Pauses(Duration::from_secs(1), 200e3),
+    ];
+    for limits in [(48, 384), (32, 1024)] {
+        let bench = Bench::start(limits, 16 << 10);
+        for time in [Duration::from_millis(480), Duration::from_millis(1200), 2 * TIME] {
+            let uploads: Vec<Upload> = [300_000, 1 << 20, 3 << 20]
+                .into_iter()
+                .flat_map(|bytes| readings.map(|reading| (bytes, reading)))
+                .flat_map(|(bytes, reading)| {
+                    [true, false].map(|chunked| Upload {
+                        bytes,
+                        chunked,
+                        send_buffer: None,
+                        reading,
+                    })
+                })
+                .collect();
+            let ended = bench.play(&uploads, time);
+            assert_eq!(late(&uploads, &ended, time), Vec::<String>::new(), "{limits:?}, {time:?}");
+        }
+    }
+}
+
 /// Guards against an upload being cut off that moves, whatever its size, framing and pace, and with a pause.
 #[test]
 fn upload_that_moves_is_not_cut_off() {
