--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -143,6 +143,8 @@
             Does::EndsLater(text, release) => {
                 let _ = writer.write_all(text.as_bytes());
                 let _ = release.lock().expect("poisoned lock").recv_timeout(SOON);
+                // The last copy of a descriptor may be in a process that another test is starting.
+                let _ = writer.shutdown(std::net::Shutdown::Both);
                 return;
             }
             Does::Hangs => {}
