An upload that is waited for while its first part is read is not due from the backlog's beginning

Callers would see: a 503 to an upload that began in a full backlog. Cause: waiting for the client was observed only once the request was passed to the engine, and not while its first 64 KiB are read. A look without memory told nothing even where nothing was there to be read. Change: observed from the first byte on; a look without memory counts where nothing is there.

--- a/src/bin/hollowpaddle/bodies/request.rs
+++ b/src/bin/hollowpaddle/bodies/request.rs
@@ -1,6 +1,7 @@
 //! Request bodies as they are received from a client.
 
 use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -151,6 +152,14 @@
         next.map(|next| next.map(|piece| piece.map(|p| Bytes::copy_from_slice(&p))))
     }
 
+    /// Observes the arrival of a body that is read as fast as it comes.
+    async fn observe_waiting(&self) -> Infallible {
+        loop {
+            sleep(OBSERVE_INTERVAL).await;
+            self.record_arrival();
+        }
+    }
+
     /// Observes the arrival of the body until it has ended.
     pub async fn observe_arrival(&self) {
         let mut sightings = UnfinishedSightings::default();
@@ -237,11 +246,19 @@
         mut buffer: BodyBuffer,
         reserved: Option<Reservation>,
     ) -> Result<Bytes, BodyError> {
-        while let Some(piece) = poll_fn(|cx| self.poll_client(cx)).await {
-            buffer.append(&piece?);
-            if buffer.is_full() {
-                break;
+        let read = async {
+            while let Some(piece) = poll_fn(|cx| self.poll_client(cx)).await {
+                buffer.append(&piece?);
+                if buffer.is_full() {
+                    break;
+                }
             }
+            Ok(())
+        };
+        tokio::select! {
+            biased;
+            read = read => read?,
+            never = self.observe_waiting() => match never {},
         }
         Ok(buffer.finish(reserved))
     }
--- a/src/bin/hollowpaddle/client_connection/read_behind.rs
+++ b/src/bin/hollowpaddle/client_connection/read_behind.rs
@@ -5,16 +5,16 @@
 use std::io::ErrorKind;
 
 use bytes::{Buf, Bytes};
-use hollowpaddle::socket::{Peer, Tail};
+use hollowpaddle::socket::{Peer, Tail, Unread};
 
-use crate::memory::{BlockQueue, BufferMemory};
+use crate::memory::{BlockQueue, BufferMemory, MAX_PIECE_BYTES};
 
 /// Fewer unread bytes than this leave room in every receive buffer, so that a close behind them is seen.
 const HIDING_BYTES: u64 = 16 << 10;
 /// Size of the kernel's receive buffer once so much is unread.
 const RECEIVE_BUFFER_BYTES: usize = 256 << 10;
-/// How much is read at a time: a part of the receive buffer, so that the rest lasts until more has come.
-const PIECE_BYTES: usize = 16 << 10;
+/// How much is read on at a time: a part of the receive buffer, so that the rest lasts until more has come.
+const TURN_PIECE_BYTES: usize = 16 << 10;
 /// How much is read at most to catch up with a client: more than the buffers of both kernels hold, if they are small.
 const CATCH_UP_BYTES: usize = 256 << 10;
 /// One connection may take this part of the memory.
@@ -59,7 +59,7 @@
                 peer.set_receive_buffer(RECEIVE_BUFFER_BYTES);
             }
             // hyper meets the end or the error of the connection itself.
-            if self.read_piece(peer).is_err() {
+            if self.read_piece::<MAX_PIECE_BYTES>(peer).is_err() {
                 break;
             }
         }
@@ -70,7 +70,8 @@
     /// Reads one piece of what the client has written, if there is memory for it.
     pub(super) fn read_on(&mut self, peer: &Peer) -> ReadOn {
         let read = match self.queue.reserve(CATCH_UP_BYTES) {
-            true => self.read_piece(peer),
+            true => self.read_piece::<TURN_PIECE_BYTES>(peer),
+            false if peer.unread() == Unread::Nothing => Err(ErrorKind::WouldBlock.into()),
             false => Err(ErrorKind::OutOfMemory.into()),
         };
         self.queue.release_spare();
@@ -81,9 +82,9 @@
         }
     }
 
-    /// Reads one piece, for which there is room.
-    fn read_piece(&mut self, peer: &Peer) -> std::io::Result<()> {
-        let mut piece = [0; PIECE_BYTES];
+    /// Reads one piece of up to `BYTES` bytes, for which there is room.
+    fn read_piece<const BYTES: usize>(&mut self, peer: &Peer) -> std::io::Result<()> {
+        let mut piece = [0; BYTES];
         let read = peer.read_now(&mut piece)?;
         if read == 0 {
             return Err(ErrorKind::UnexpectedEof.into());
