Two processes of one balancer share its memory, and connections take less of it

Cause: the pool kept 471 connections to upstreams, 230 in use, at 27 KiB of buffers each; a head held its 8 KiB read buffer for the whole request; a new process filled its table whatever the old one held. Change: a sixteenth of the memory for idle connections; short heads leave the read buffer; the task and the body of an upstream connection are boxed; other processes' private memory and an eighth of the limit are taken from what a process accepts connections by. Open: 3,200 upstreams at 32 MB and /metrics there.

--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -36,11 +36,12 @@
 use crate::engine::Handle;
 use crate::lifecycle::{LINGER, Lifecycle};
 use crate::memory::MessageMemory;
-use crate::succession::ProcessRegistration;
+use crate::succession::{OtherProcesses, ProcessRegistration};
 use crate::upstreams::{Forward, header_bytes};
 use hollowpaddle::figures::Figures;
 use hollowpaddle::socket::{Peer, Socket, Unread, after_failed_accept};
-use request_head::{arrival, host, origin_form, upstream_headers};
+use hollowpaddle::tasks::AbortOnDrop;
+use request_head::{arrival, detach_head, host, origin_form, upstream_headers};
 use responses::{
     ClientResponse, body_error_response, empty_response, malformed_response, no_route_response,
     reply_response,
@@ -59,6 +60,9 @@
 const KILL_MARGIN: Duration = Duration::from_millis(200);
 /// Interval of checks for a free place while the connection table is full, and of retries of a failed accept.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(1);
+/// Interval of looks at the memory of other processes at the address.
+const OTHERS_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Why a client connection ended.
 #[derive(Debug)]
 enum ConnectionEnd {
@@ -84,6 +88,8 @@
     /// Since when connections may have been waiting in the backlog; `None` once it was found empty.
     backlog_since: Cell<Option<Instant>>,
     lifecycle: Rc<Lifecycle>,
+    /// The private memory of other processes at the address, in bytes: all share one limit.
+    others_memory: Cell<usize>,
 }
 
 impl ClientServer {
@@ -101,6 +107,7 @@
             table_full: Notify::new(),
             backlog_since: Cell::new(None),
             lifecycle,
+            others_memory: Cell::new(0),
         }
     }
 
@@ -111,6 +118,8 @@
         registration: ProcessRegistration,
         stop: impl Future<Output = ()>,
     ) {
+        let others = self.clone().follow_others(registration.other_processes());
+        let _others = AbortOnDrop(tokio::task::spawn_local(others));
         tokio::select! {
             () = self.accept(&listener) => {}
             () = stop => {}
@@ -140,6 +149,14 @@
         let _ = timeout(DRAIN_TIMEOUT, finished).await;
     }
 
+    /// Follows how much memory other processes at the address hold.
+    async fn follow_others(self: Rc<Self>, others: OtherProcesses) {
+        loop {
+            self.others_memory.set(others.private_memory());
+            sleep(OTHERS_INTERVAL).await;
+        }
+    }
+
     /// Time after SIGTERM by which the last response must be sent.
     fn shutdown_time(&self) -> Duration {
         let routing = self.engine.routing();
@@ -288,7 +305,8 @@
 
     /// The size of the connection table.
     fn max_connections(&self) -> usize {
-        self.memory.budget.connections_beside(self.engine.listed_upstreams())
+        let upstreams = self.engine.listed_upstreams();
+        self.memory.budget.connections_beside(upstreams, self.others_memory.get())
     }
 
     fn is_crowded(&self) -> bool {
@@ -305,10 +323,11 @@
 
     async fn respond(
         &self,
-        request: Request<Incoming>,
+        mut request: Request<Incoming>,
         socket: &Socket,
         connection: &Rc<ClientConnection>,
     ) -> Result<ClientResponse, Infallible> {
+        detach_head(&mut request);
         let guard = Rc::new(connection.begin_request());
         let routing = self.engine.routing();
         let unanswered = UnansweredRequest {
@@ -376,7 +395,7 @@
             return body_error_response(BodyError::TooLarge, &id);
         }
         let client = guard.input(client);
-        let start = guard.arrived(self.engine.earliest_arrival());
+        let start = self.engine.earliest_arrival();
         let body = RequestBody::new(body, client.clone(), start, guard.body_start_timeout());
         let kept = match self.buffer_body(&body, length).await {
             Ok(kept) => kept,
@@ -390,7 +409,7 @@
             tracing::debug!(request, %denial, "request rejected: client has already closed");
             return empty_response(StatusCode::BAD_REQUEST);
         }
-        // The deadline runs from the request's last byte, which may have been written while it waited in the backlog.
+        // The deadline runs from the request's last byte. If that is still to come, time in the backlog does not count.
         let read = self.engine.earliest_arrival();
         let arrived = if body.is_complete() { guard.arrived(read) } else { body.arrived_at() };
         let arrival = match arrival(service_id, service, &head, &kept, arrived) {
--- a/src/bin/hollowpaddle/clients/request_head.rs
+++ b/src/bin/hollowpaddle/clients/request_head.rs
@@ -15,10 +15,31 @@
 use tokio::time::Instant;
 
 use crate::engine::Arrival;
+use crate::upstreams::header_bytes;
 
 /// Largest accepted `X-Deadline-Ms`; a longer deadline is treated as malformed.
 const MAX_DEADLINE_MS: u64 = 3_600_000;
 
+/// A head of up to this size is copied out of the buffer that it was read into.
+const MAX_DETACHED_HEAD_BYTES: usize = 2 << 10;
+
+/// Copies a short head out of hyper's read buffer, which the head would hold for as long as the request lasts, beside the
+/// buffer for its body.
+pub(super) fn detach_head(request: &mut Request<Incoming>) {
+    let uri_bytes = request.uri().path_and_query().map_or(0, |asked| asked.as_str().len());
+    if uri_bytes + header_bytes(request.headers()) > MAX_DETACHED_HEAD_BYTES {
+        return;
+    }
+    for value in request.headers_mut().values_mut() {
+        if let Ok(copy) = HeaderValue::from_bytes(value.as_bytes()) {
+            *value = copy;
+        }
+    }
+    if let Ok(copy) = request.uri().to_string().parse() {
+        *request.uri_mut() = copy;
+    }
+}
+
 /// Extracts what the policy needs to know of a request; the error names the invalid header or `method`.
 pub(super) fn arrival(
     service_id: ServiceId,
--- a/src/bin/hollowpaddle/memory/budget.rs
+++ b/src/bin/hollowpaddle/memory/budget.rs
@@ -30,8 +30,14 @@
 const MAX_BUFFER_DIVISOR: usize = 4;
 /// This part of the memory for buffers is for large pieces.
 const LARGE_PIECE_DIVISOR: usize = 3;
+/// An idle connection to an upstream, with the buffers that hyper keeps for it.
+const IDLE_CONNECTION_BYTES: usize = 28 * KIB;
+/// This part of the memory for connections and buffers may be held by idle connections to upstreams.
+const IDLE_CONNECTIONS_DIVISOR: usize = 16;
 /// While one process replaces another, both share the limit and the clients, and each has buffers of its own.
 const PROCESSES: usize = 2;
+/// This part of the limit is left to the growth of both, beyond what the other holds and this one has planned.
+const GROWTH_RESERVE_DIVISOR: usize = 8;
 /// Connections that a process accepts however low its limit is.
 const MIN_CONNECTIONS: usize = 8;
 
@@ -42,6 +48,8 @@
     limit: usize,
     /// Maximum number of client connections, each with an upstream connection, beside the upstreams known at the start.
     pub connections: usize,
+    /// Maximum number of idle connections to upstreams.
+    pub idle_connections: usize,
     /// Maximum number of bytes read from a connection at a time.
     pub piece_bytes: usize,
     /// A head of more bytes needs a reservation.
@@ -68,9 +76,12 @@
         let rest = rest - response_head_bytes;
         let large_piece_bytes = rest / LARGE_PIECE_DIVISOR;
         let buffer_bytes = (rest - large_piece_bytes).min(limit / MAX_BUFFER_DIVISOR);
+        let idle_bytes = shared / IDLE_CONNECTIONS_DIVISOR;
         Self {
             limit,
             connections,
+            idle_connections: (idle_bytes / IDLE_CONNECTION_BYTES)
+                .clamp(MIN_CONNECTIONS, connections),
             piece_bytes,
             short_head_bytes: SHORT_HEAD_BYTES.max(piece_bytes),
             buffer_bytes,
@@ -79,9 +90,12 @@
         }
     }
 
-    /// Maximum number of client connections beside so many upstreams, whose state takes memory from them.
-    pub fn connections_beside(&self, upstreams: usize) -> usize {
-        self.connections.min(most_connections(self.limit, upstreams, self.piece_bytes))
+    /// Maximum number of client connections beside so many upstreams, whose state takes memory from them, and beside other
+    /// processes under the same limit that hold `other_bytes`.
+    pub fn connections_beside(&self, upstreams: usize, other_bytes: usize) -> usize {
+        let reserve = if other_bytes > 0 { self.limit / GROWTH_RESERVE_DIVISOR } else { 0 };
+        let limit = self.limit.saturating_sub(other_bytes + reserve);
+        self.connections.min(most_connections(limit, upstreams, self.piece_bytes))
     }
 }
 
--- a/src/bin/hollowpaddle/memory/budget/tests.rs
+++ b/src/bin/hollowpaddle/memory/budget/tests.rs
@@ -59,12 +59,24 @@
 #[test]
 fn more_upstreams_leave_fewer_connections() {
     let budget = MemoryBudget::new(32 * MIB, half(1024), 4);
-    assert_eq!(budget.connections_beside(4), budget.connections);
-    let beside_many = budget.connections_beside(1024);
+    assert_eq!(budget.connections_beside(4, 0), budget.connections);
+    let beside_many = budget.connections_beside(1024, 0);
     let freed = (budget.connections - beside_many) * pair_bytes(budget.piece_bytes);
     assert!(
         freed + pair_bytes(budget.piece_bytes) >= (1024 - 4) * UPSTREAM_BYTES - MIB / 2,
         "{freed}"
     );
-    assert_eq!(budget.connections_beside(1_000_000), MIN_CONNECTIONS);
+    assert_eq!(budget.connections_beside(1_000_000, 0), MIN_CONNECTIONS);
+}
+
+/// Guards against a process filling its connection table as if it were alone beside the one that it replaces (review/7).
+#[test]
+fn other_processes_leave_fewer_connections() {
+    let budget = MemoryBudget::new(32 * MIB, 492, 15);
+    let alone = budget.connections_beside(15, 0);
+    let beside = budget.connections_beside(15, 20 * MIB);
+    assert!(beside < alone / 4, "{beside} of {alone}");
+    let most = PROGRAM_BYTES + 15 * UPSTREAM_BYTES + beside * pair_bytes(budget.piece_bytes);
+    assert!(20 * MIB + most <= 32 * MIB, "{most} bytes");
+    assert_eq!(budget.connections_beside(15, 40 * MIB), MIN_CONNECTIONS);
 }
--- a/src/bin/hollowpaddle/succession.rs
+++ b/src/bin/hollowpaddle/succession.rs
@@ -53,8 +53,7 @@
 /// management address. The lock distinguishes live processes from killed ones, which leave their files behind and must
 /// not count as successors.
 pub struct ProcessRegistration {
-    folder: PathBuf,
-    address: String,
+    place: Place,
     /// Start time and process id; marker files sort by it in the order in which their processes started.
     name: String,
     _locked: Option<File>,
@@ -65,15 +64,17 @@
     pub fn register(listen: SocketAddr, listener: &TcpListener) -> Self {
         let address = listen.to_string().replace(|c: char| !c.is_ascii_alphanumeric(), "-");
         let name = format!("{}-{}", start_time(), std::process::id());
-        let mut registration = Self { folder: std::env::temp_dir(), address, name, _locked: None };
+        let place = Place { folder: std::env::temp_dir(), address };
+        let mut registration = Self { place, name, _locked: None };
+        let folder = &registration.place.folder;
         let locked =
-            create_locked(&registration.folder, &registration.file(SERVING)).inspect_err(|cause| {
-                let folder = registration.folder.display();
+            create_locked(folder, &registration.file(SERVING)).inspect_err(|cause| {
+                let folder = folder.display();
                 tracing::warn!(%cause, %folder, "cannot create marker file; no handover to this process");
             });
         registration._locked = locked.ok();
         // A process that has ended may have left its redirect program on the listener group.
-        if registration.processes().len() > 1 {
+        if registration.place.processes().len() > 1 {
             let _ = attach_redirect(listener, NO_REDIRECT);
         }
         registration
@@ -83,20 +84,48 @@
     /// marker file is renamed first, two processes that end at the same time do not take each other for successors.
     pub fn begin_handover(self) -> Handover {
         let _ = std::fs::rename(self.path(SERVING), self.path(ENDING));
-        let group = self.processes();
+        let group = self.place.processes();
         Handover { registration: self, group }
     }
 
-    fn prefix(&self, word: &str) -> String {
-        format!("hollowpaddle-{word}-{}-", self.address)
+    /// The other processes at the address.
+    pub fn other_processes(&self) -> OtherProcesses {
+        OtherProcesses { place: self.place.clone(), own_name: self.name.clone() }
     }
 
     fn file(&self, word: &str) -> String {
-        format!("{}{}", self.prefix(word), self.name)
+        format!("{}{}", self.place.prefix(word), self.name)
     }
 
     fn path(&self, word: &str) -> PathBuf {
-        self.folder.join(self.file(word))
+        self.place.folder.join(self.file(word))
+    }
+}
+
+/// The processes other than this one that run at its address: the one that it replaces, or that replaces it.
+pub struct OtherProcesses {
+    place: Place,
+    own_name: String,
+}
+
+impl OtherProcesses {
+    /// The private memory that they hold together, in bytes.
+    pub fn private_memory(&self) -> usize {
+        let others = self.place.processes().into_iter().filter(|p| p.name != self.own_name);
+        others.filter_map(|process| process.private_memory()).sum()
+    }
+}
+
+/// An address with the folder of its processes' marker files.
+#[derive(Clone)]
+struct Place {
+    folder: PathBuf,
+    address: String,
+}
+
+impl Place {
+    fn prefix(&self, word: &str) -> String {
+        format!("hollowpaddle-{word}-{}-", self.address)
     }
 
     /// All live processes at the address, including this one, in the order in which they started.
@@ -129,6 +158,17 @@
     serves: bool,
 }
 
+impl Process {
+    /// The private memory of the process in bytes; `None` if the system does not tell.
+    fn private_memory(&self) -> Option<usize> {
+        let (_, id) = self.name.rsplit_once('-')?;
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"))?;
+        let kib = line.trim().strip_suffix(" kB")?.trim().parse::<usize>().ok()?;
+        kib.checked_mul(1 << 10)
+    }
+}
+
 /// The handover of an address by an ending process; dropping it removes the process's marker file.
 pub struct Handover {
     registration: ProcessRegistration,
@@ -178,8 +218,10 @@
     /// Waits for other ending processes at the address, so that the listener group does not change meanwhile. Returns
     /// the held lock; `None` on a failure or after [`TURN_TIMEOUT`].
     async fn wait_for_turn(&self) -> Option<File> {
-        let file =
-            File::create(self.registration.folder.join(self.registration.prefix("turn"))).ok()?;
+        let file = File::create(
+            self.registration.place.folder.join(self.registration.place.prefix("turn")),
+        )
+        .ok()?;
         let until = Instant::now() + TURN_TIMEOUT;
         while Instant::now() < until {
             match file.try_lock() {
@@ -193,7 +235,7 @@
 
     /// Updates the group with the processes that have started, gone, or begun to end.
     fn refresh_group(&mut self) {
-        let mut now = self.registration.processes();
+        let mut now = self.registration.place.processes();
         let mut index = 0;
         while let Some(known) = self.group.get_mut(index) {
             match now.iter().position(|process| process.name == known.name) {
--- a/src/bin/hollowpaddle/upstreams.rs
+++ b/src/bin/hollowpaddle/upstreams.rs
@@ -188,15 +188,22 @@
         None
     }
 
+    /// Keeps an idle connection; closes the one that has been idle longest if there are too many.
     fn put_idle(&self, server: ServerId, connection: UpstreamConnection) {
         self.idle.borrow_mut().entry(server).or_default().push(connection);
+        let count = self.idle.borrow().values().map(Vec::len).sum::<usize>();
+        if count > self.memory.budget.idle_connections {
+            self.close_longest_idle();
+        }
     }
 
     /// Makes room for one more connection, if necessary by closing the one that has been idle longest.
     fn make_room(&self) -> bool {
-        if self.open_count.get() < self.memory.budget.connections {
-            return true;
-        }
+        self.open_count.get() < self.memory.budget.connections || self.close_longest_idle()
+    }
+
+    /// Closes the connection that has been idle longest; returns false if none is idle.
+    fn close_longest_idle(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
         // Each list is ordered by idle time, longest first.
         let oldest = idle
@@ -241,6 +248,8 @@
         let (sender, connection) =
             http1::Builder::new().max_buf_size(MAX_RESPONSE_HEAD_BYTES).handshake(io).await.ok()?;
         let pool = Rc::downgrade(self);
+        // Boxed, since the task would have room for it twice: for what it captures, and for what it waits for.
+        let connection = Box::pin(connection);
         let task = tokio::task::spawn_local(async move {
             let _open = open;
             let ended = connection.await;
--- a/src/bin/hollowpaddle/upstreams/connection.rs
+++ b/src/bin/hollowpaddle/upstreams/connection.rs
@@ -141,7 +141,8 @@
 
 /// A connection that is idle or in use by one attempt.
 pub(super) struct UpstreamConnection {
-    pub(super) sender: SendRequest<UpstreamRequestBody>,
+    /// The body is boxed, since hyper's channel has room for 32 requests.
+    pub(super) sender: SendRequest<Box<UpstreamRequestBody>>,
     pub(super) written: Written,
     pub(super) peer: Peer,
     pub(super) address: SocketAddr,
--- a/src/bin/hollowpaddle/upstreams/forward.rs
+++ b/src/bin/hollowpaddle/upstreams/forward.rs
@@ -45,12 +45,15 @@
         written: &Written,
         guard: &Rc<AttemptGuard>,
         short_head_bytes: usize,
-    ) -> Option<Request<UpstreamRequestBody>> {
+    ) -> Option<Request<Box<UpstreamRequestBody>>> {
         let due = BodyProgress::default();
         let (from, of, all) = (written.bytes.get(), written.clone(), due.clone());
         let given = move || of.complete_at.set(Some(from + all.bytes.get()));
-        let mut request =
-            Request::new(UpstreamRequestBody::new(&self.body, due.clone(), Box::new(given)));
+        let mut request = Request::new(Box::new(UpstreamRequestBody::new(
+            &self.body,
+            due.clone(),
+            Box::new(given),
+        )));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
