Metrics of upstreams are compact, and are encoded while a scraper reads them

Change: figures/upstreams.rs keeps four numbers for each upstream, and allocates its histogram with the first latency. A scrape encodes some 50 KB at a time as the caller reads, goes on behind the last upstream it sent, and lets other tasks run in between. Names, labels and values are as before; the answer is chunked, and a caller has 10 s to read it (2 s before). The list of a page is encoded by prometheus-client as before.

The stub client of the tests reads chunked answers now.

--- a/src/bin/hollowpaddle/engine/upstream_table.rs
+++ b/src/bin/hollowpaddle/engine/upstream_table.rs
@@ -14,7 +14,7 @@
 pub(super) struct UpstreamTable {
     pub(super) targets: Vec<Rc<Target>>,
     /// Metrics of the same upstreams; `None` for an upstream that is gone, and where metrics are off.
-    pub(super) figures: Vec<Option<figures::Upstream>>,
+    pub(super) figures: Vec<Option<Rc<figures::Upstream>>>,
     /// Whether the same upstreams are in the current list, and how many are.
     listed: Vec<bool>,
     pub(super) listed_count: usize,
@@ -26,7 +26,7 @@
     }
 
     pub(super) fn figures(&self, server: ServerId) -> Option<&figures::Upstream> {
-        self.figures.get(server.0 as usize)?.as_ref()
+        self.figures.get(server.0 as usize)?.as_deref()
     }
 
     fn set_listed(&mut self, at: usize, is_listed: bool) {
--- a/src/bin/hollowpaddle/management.rs
+++ b/src/bin/hollowpaddle/management.rs
@@ -1,26 +1,28 @@
 //! The management HTTP server for operators. Takes one call per connection, and stays responsive under client load
 //! and with any number of callers that hold a connection without completing their call.
 
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hollowpaddle::calls::{Reply, json_reply};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, Either, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{ALLOW, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep_until};
 
 use crate::engine::Handle;
 use crate::lifecycle::Lifecycle;
-use hollowpaddle::figures::Figures;
+use hollowpaddle::figures::{Figures, MetricsBody};
 use hollowpaddle::socket::{Socket, after_failed_accept};
 use hollowpaddle::tasks::AbortOnDrop;
 
@@ -29,11 +31,16 @@
 pub const MAX_CONNECTIONS: usize = 16;
 /// The time limit for a call, from accepting the connection to the last byte of the answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// The time limit for reading all metrics, which may be many megabytes: as long as Prometheus waits by default.
+const SCRAPE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Buffer size for a request head, in bytes: the minimum that hyper allows.
 const HEAD_LIMIT: usize = 8 << 10;
 /// The largest request body, in bytes; calls need none.
 const BODY_LIMIT: usize = 4 << 10;
 
+/// An answer to a call, which is short but for the metrics.
+type Answer = Response<Either<Full<Bytes>, MetricsBody>>;
+
 #[derive(Clone, Copy)]
 enum Call {
     Health,
@@ -97,21 +104,37 @@
     }
 
     async fn call(self: Rc<Self>, stream: TcpStream) {
-        let service = service_fn(|request| self.answer(request));
+        let deadline = Cell::new(Instant::now() + CALL_TIMEOUT);
+        let service = service_fn(|request| self.answer(request, &deadline));
         let connection = http1::Builder::new()
             .keep_alive(false)
             .max_buf_size(HEAD_LIMIT)
             .serve_connection(TokioIo::new(Socket::new(stream)), service);
-        let _ = timeout(CALL_TIMEOUT, connection).await;
+        let expired = async {
+            while Instant::now() < deadline.get() {
+                sleep_until(deadline.get()).await;
+            }
+        };
+        tokio::select! {
+            _ = connection => {}
+            () = expired => {}
+        }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Result<Reply, Infallible> {
+    /// Answers a call; sets a later `deadline` if reading the answer may take longer.
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        deadline: &Cell<Instant>,
+    ) -> Result<Answer, Infallible> {
         let (head, body) = request.into_parts();
         if Limited::new(body, BODY_LIMIT).collect().await.is_err() {
-            return Ok(json_reply(StatusCode::BAD_REQUEST, &json!({"error": "the body"})));
+            let answer = json_reply(StatusCode::BAD_REQUEST, &json!({"error": "the body"}));
+            return Ok(answer.map(Either::Left));
         }
         let Some(call) = Call::from_path(head.uri.path()) else {
-            return Ok(json_reply(StatusCode::NOT_FOUND, &json!({"error": "no such call"})));
+            let answer = json_reply(StatusCode::NOT_FOUND, &json!({"error": "no such call"}));
+            return Ok(answer.map(Either::Left));
         };
         let method = call.method();
         if head.method != method {
@@ -120,18 +143,23 @@
             if let Ok(value) = HeaderValue::from_str(method.as_str()) {
                 answer.headers_mut().insert(ALLOW, value);
             }
-            return Ok(answer);
+            return Ok(answer.map(Either::Left));
         }
-        Ok(match call {
+        let answer = match call {
             Call::Health => self.health(),
             Call::Stats => json_reply(
                 StatusCode::OK,
                 &self.figures.to_json(self.engine.upstream_counts().await),
             ),
-            Call::Metrics => self.figures.prometheus_response(self.engine.upstream_counts().await),
+            Call::Metrics => {
+                let counts = self.engine.upstream_counts().await;
+                deadline.set(Instant::now() + SCRAPE_TIMEOUT);
+                return Ok(self.figures.prometheus_response(counts).map(Either::Right));
+            }
             Call::Quiesce => self.phase_reply(self.lifecycle.quiesce()),
             Call::Resume => self.phase_reply(self.lifecycle.resume()),
-        })
+        };
+        Ok(answer.map(Either::Left))
     }
 
     fn health(&self) -> Reply {
--- a/src/figures/mod.rs
+++ b/src/figures/mod.rs
@@ -1,26 +1,30 @@
 //! Metrics of the proxy. Counters are incremented where the event happens and never decremented. The
 //! `prometheus-client` crate holds them and encodes them in Prometheus's text format.
 
+mod body;
+mod upstreams;
+
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::atomic::AtomicU64;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Response, StatusCode};
 use prometheus_client::encoding::prometheus_text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
-use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 use rustc_hash::FxHashMap;
 use serde_json::{Map, Value, json};
 
-use crate::interface::Outcome;
 use crate::invariants::violations::Violations;
+pub use body::MetricsBody;
+pub use upstreams::Upstream;
+use upstreams::Upstreams;
 
 const PROMETHEUS_CONTENT_TYPE: &str = "text/plain; version=0.0.4; charset=utf-8";
 
@@ -102,42 +106,6 @@
     errors: Counter,
 }
 
-/// Metrics of the attempts sent to one upstream, as this proxy observed them.
-pub struct Upstream {
-    served: Counter,
-    errors: Counter,
-    refused: Counter,
-    unreachable: Counter,
-    latency: Histogram,
-}
-
-impl Upstream {
-    /// Records the outcome of an attempt and its latency. Cancelled attempts and attempts that were not sent are not
-    /// counted, because they say nothing about the upstream.
-    pub fn record_attempt(&self, outcome: Outcome, latency: Duration) {
-        match outcome {
-            Outcome::Ok => {
-                self.served.inc();
-                self.latency.observe(latency.as_secs_f64());
-            }
-            // The time waited is a lower bound of the latency.
-            Outcome::Timeout => {
-                self.errors.inc();
-                self.latency.observe(latency.as_secs_f64());
-            }
-            Outcome::Error | Outcome::Reset => drop(self.errors.inc()),
-            Outcome::Full => drop(self.refused.inc()),
-            Outcome::ConnectFailed => drop(self.unreachable.inc()),
-            Outcome::Cancelled | Outcome::NotSent => {}
-        }
-    }
-}
-
-/// Creates a latency histogram with bucket bounds from 1 ms to about 20 s, each a third above the previous one.
-fn latency_histogram() -> Histogram {
-    Histogram::new(exponential_buckets(0.001, 4.0 / 3.0, 36))
-}
-
 /// The metrics of one proxy.
 pub struct Figures {
     registry: Registry,
@@ -153,8 +121,7 @@
     pub violations: Violations,
     active: Gauge,
     pool: [Gauge; 2],
-    attempts: Family<Labels, Counter>,
-    latencies: Family<Labels, Histogram, fn() -> Histogram>,
+    upstreams: Upstreams,
     /// Whether metrics are recorded per upstream; only if there is a management address to read them at.
     per_upstream: bool,
 }
@@ -168,8 +135,6 @@
         let (tries, uploads_timed_out) = (Counter::default(), Counter::default());
         let active = Gauge::default();
         let pool: [Gauge; 2] = Default::default();
-        let attempts = Family::<Labels, Counter>::default();
-        let latencies = Family::new_with_constructor(latency_histogram as fn() -> Histogram);
         registry.register("requests", "Requests ended, by class and how", requests.clone());
         registry.register("tries", "Attempts written whole to upstreams", tries.clone());
         registry.register(
@@ -180,16 +145,6 @@
         registry.register("active", "Requests taken and not ended", active.clone());
         registry.register("pool_size", "Upstreams in the list", pool[0].clone());
         registry.register("pool_ejected", "Upstreams avoided now", pool[1].clone());
-        registry.register(
-            "upstream_attempts",
-            "Attempts ended, by upstream and how",
-            attempts.clone(),
-        );
-        registry.register(
-            "upstream_latency_seconds",
-            "Time of attempts that were served or timed out, by upstream",
-            latencies.clone(),
-        );
         let violations = Violations::registered(&mut registry);
         let (responses, services) = Default::default();
         Rc::new(Self {
@@ -202,8 +157,7 @@
             violations,
             active,
             pool,
-            attempts,
-            latencies,
+            upstreams: Upstreams::default(),
             per_upstream,
         })
     }
@@ -244,24 +198,13 @@
     }
 
     /// The metrics of this upstream; `None` if metrics are not recorded per upstream.
-    pub fn upstream(&self, id: &str) -> Option<Upstream> {
-        let counter =
-            |end| self.attempts.get_or_create(&labels(&[("upstream", id), ("end", end)])).clone();
-        self.per_upstream.then(|| Upstream {
-            served: counter("served"),
-            errors: counter("errors"),
-            refused: counter("refused"),
-            unreachable: counter("unreachable"),
-            latency: self.latencies.get_or_create(&labels(&[("upstream", id)])).clone(),
-        })
+    pub fn upstream(&self, id: &str) -> Option<Rc<Upstream>> {
+        self.per_upstream.then(|| self.upstreams.upstream(id))
     }
 
     /// Removes the series of an upstream that has left the list for good.
     pub fn remove_upstream(&self, id: &str) {
-        for end in ["served", "errors", "refused", "unreachable"] {
-            self.attempts.remove(&labels(&[("upstream", id), ("end", end)]));
-        }
-        self.latencies.remove(&labels(&[("upstream", id)]));
+        self.upstreams.remove(id);
     }
 
     /// The metrics as JSON, with the number of upstreams in the list and of those avoided now.
@@ -284,11 +227,24 @@
         })
     }
 
-    /// The response to a Prometheus scrape: the same metrics and those per upstream.
-    pub fn prometheus_response(&self, (size, ejected): (usize, usize)) -> Response<Full<Bytes>> {
+    /// The response to a Prometheus scrape: the same metrics and those per upstream, which are encoded while they are sent.
+    pub fn prometheus_response(
+        self: &Rc<Self>,
+        (size, ejected): (usize, usize),
+    ) -> Response<MetricsBody> {
         self.pool[0].set(size as i64);
         self.pool[1].set(ejected as i64);
-        encode_response(&self.registry)
+        let mut response = Response::new(MetricsBody::new(self.clone()));
+        let kind = HeaderValue::from_static(PROMETHEUS_CONTENT_TYPE);
+        response.headers_mut().insert(CONTENT_TYPE, kind);
+        response
+    }
+
+    /// The metrics of the whole proxy in Prometheus's text format.
+    fn encode_totals(&self) -> Result<String, std::fmt::Error> {
+        let mut text = String::new();
+        encode(&mut text, &self.registry)?;
+        Ok(text)
     }
 }
 
--- a/tests/stubs/mod.rs
+++ b/tests/stubs/mod.rs
@@ -46,13 +46,38 @@
         let Some((name, value)) = line.split_once(':') else { break };
         headers.insert(name.to_lowercase(), value.trim().to_string());
     }
-    let length =
-        headers.get("content-length").map_or(0, |v| v.parse().expect("invalid Content-Length"));
-    let mut body = vec![0; length];
-    stream.read_exact(&mut body).ok()?;
+    let is_chunked = headers.get("transfer-encoding").is_some_and(|v| v == "chunked");
+    let body = if first.starts_with("HTTP/") && is_chunked {
+        read_chunks(stream)?
+    } else {
+        let length =
+            headers.get("content-length").map_or(0, |v| v.parse().expect("invalid Content-Length"));
+        read_bytes(stream, length)?
+    };
     Some(Message { first, headers, body })
 }
 
+fn read_bytes(stream: &mut BufReader<TcpStream>, length: usize) -> Option<Vec<u8>> {
+    let mut bytes = vec![0; length];
+    stream.read_exact(&mut bytes).ok()?;
+    Some(bytes)
+}
+
+/// Reads a chunked body without trailers to its end.
+fn read_chunks(stream: &mut BufReader<TcpStream>) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let mut size = String::new();
+        stream.read_line(&mut size).ok()?;
+        let size = usize::from_str_radix(size.trim(), 16).expect("invalid chunk size");
+        body.extend(read_bytes(stream, size)?);
+        read_bytes(stream, "\r\n".len())?;
+        if size == 0 {
+            return Some(body);
+        }
+    }
+}
+
 /// What an upstream does with a request.
 #[derive(Clone)]
 pub enum Does {
