--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -2,8 +2,7 @@
 
 use super::*;
 
-/// Share of the aim that mean queueing and service time may take; the rest allows for variance in service
-/// time.
+/// Share of the aim for mean queueing and service time; the rest allows for their variance.
 const WAIT_SHARE_OF_AIM: f64 = 0.7;
 /// Share of the maximum wait that is open to the class with the least worth per unit of work.
 const MIN_WAIT_SHARE: f64 = 0.2;
@@ -51,8 +50,7 @@
     /// of work get a smaller share of the maximum wait, and requests beyond their tenant's share get none of
     /// it.
     pub(super) fn admits(&self, class: usize, in_share: bool) -> bool {
-        // Failure: on a saturated fleet, a tenant that sent three times its share displaced other tenants'
-        // requests.
+        // A tenant beyond its share must not displace others' requests.
         let wait_share = if in_share { self.fleet.wait_share[class] } else { 0.0 };
         let partition = &self.partitions[self.partition_of[class]];
         let n = partition.n_per_time * (self.fleet.ts + self.fleet.max_wait * wait_share);
@@ -64,9 +62,7 @@
 
     /// This proxy's share of slots: its share of `even` plus an allowance for random variation, or, if
     /// greater, what other proxies leave free of `n` according to load reports.
-    /// Failure: 100 proxies over 60 upstreams, each with one request in flight, refused half of the requests
-    /// while 20 upstreams were idle. Failure: without the allowance, the binomial standard deviation of its
-    /// share of the free slots, 300 proxies refused 0.14 of the requests.
+    /// The allowance is the binomial standard deviation of its share of the free slots.
     pub(super) fn share(&self, partition: &CapacityPartition, even: f64, n: f64) -> f64 {
         let (p, (free, report_weight)) = (self.proxy_share(), self.fleet.free);
         let chance = (n * free / report_weight.max(1.0) * p * (1.0 - p)).sqrt();
--- a/src/policy/choice.rs
+++ b/src/policy/choice.rs
@@ -2,8 +2,7 @@
 
 use super::*;
 
-/// Second copies of overdue requests allowed per first attempt; more would cause a retry storm on a slow
-/// fleet.
+/// Second copies of overdue requests per first attempt; more would be a retry storm on a slow fleet.
 const SECOND_COPIES_PER_REQUEST: f64 = 0.3;
 
 impl Balancer {
@@ -98,8 +97,7 @@
         for &i in &self.preference {
             let s = &self.servers[i];
             let trial = if full { s.trial } else { s.trial.min(0) };
-            // Failure: a proxy at its limit sent trial requests to upstreams that it had left idle for being
-            // slow.
+            // At the limit, trials must not go to upstreams that are idle for being slow.
             if s.in_flight >= self.k(s, trial) || (full && s.in_flight < self.k(s, 0)) {
                 continue;
             }
--- a/src/policy/estimates.rs
+++ b/src/policy/estimates.rs
@@ -12,17 +12,13 @@
 const OUTLIER_SLOWNESS: f64 = 2.0;
 /// Added to the ring distance in an upstream's cost, so that slowness counts even at distance 0.
 const MIN_DISTANCE: f64 = 0.1;
-/// Maximum concurrency of an upstream that is tried.
-const MAX_CONCURRENCY: usize = 32;
-/// Weight, in answers, of the prior that a level has no more throughput than the one below it (the paper's
-/// assumption).
+/// Weight in answers of the paper's assumption, that a level has no more throughput than the one below it.
 const LEVEL_PRIOR_ANSWERS: f64 = 16.0;
 /// Number of answers after which a level's history is halved.
 const LEVEL_MEMORY_ANSWERS: f64 = 128.0;
 /// A round ends after this many answers at the level in use, against which the other levels are measured.
 const MIN_ROUND_ANSWERS: f64 = 8.0;
-/// Cap on the time booked for one answer, in service times: a longer gap shows a fault, not the level's
-/// throughput.
+/// Cap on the time booked for one answer, in service times: a longer gap shows a fault.
 const MAX_GAP_SERVICE_TIMES: f64 = 5.0;
 /// The lowest concurrency with this share of the best throughput is used; more would cost latency.
 const SUFFICIENT_THROUGHPUT_SHARE: f64 = 0.75;
@@ -31,27 +27,11 @@
 /// Share of the upstreams tried with higher concurrency once enough is known of that level.
 const TRIAL_SHARE: f64 = 1.0 / 96.0;
 
-/// Estimates for one upstream: the round trip is split into 2*TP + TS. Times are in microseconds.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Estimate {
-    /// 2*TP, twice the propagation time: the least round trip of any answer. Known once the upstream has
-    /// rejected a request, as a rejection involves no work.
-    pub(super) tp2: Option<f64>,
-    pub(super) min_round_trip: f64,
-    /// Service time, including queueing at the upstream, relative to the fleet's mean for the same class.
-    /// TS_i is this times the fleet's TS, so it does not depend on the mix of classes that it received.
-    pub(super) slowness: f64,
-}
-
 impl Estimate {
-    /// Before any answer: the fleet's mean.
-    pub(super) const NONE: Self = Self { tp2: None, min_round_trip: f64::INFINITY, slowness: 1.0 };
-
     /// Updates the estimate from an outcome with this latency; `mean` is the fleet's mean for its class. Both
     /// are in microseconds.
     pub(super) fn learn(&mut self, outcome: Outcome, latency: f64, mean: f64) {
-        // Failure: an upstream with a process stall rejected requests late; taken for propagation time, that
-        // delay left it no N_i. Hence the least round trip of any answer is used.
+        // The least of all, since a rejection is late where the upstream's process stalls.
         if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full) {
             self.min_round_trip = self.min_round_trip.min(latency);
             self.tp2 =
@@ -68,23 +48,7 @@
     }
 }
 
-/// Concurrency of one kind of upstream: how many requests it processes in parallel. The paper assumes one,
-/// and upstreams do not report it. It is learned from the rate of answers at each level, that is, number of
-/// own requests in flight at an upstream.
-///
-/// Failure: when estimated from the latency at each level, one core looked like two, because the attempts
-/// that finish before a concurrent one are the short ones.
-#[derive(Clone, Debug)]
-pub(super) struct Concurrency {
-    pub(super) count: usize,
-    pub(super) level: Vec<Level>,
-}
-
 impl Concurrency {
-    pub(super) fn new() -> Self {
-        Self { count: 1, level: vec![Level::default(); MAX_CONCURRENCY + 1] }
-    }
-
     /// Ends the round if enough answers were seen, and selects the lowest concurrency with sufficient
     /// throughput.
     pub(super) fn choose(&mut self) {
@@ -116,48 +80,14 @@
         }
     }
 
-    /// The level to try next, and whether enough is known of it. The step is a doubling, whose gain can
-    /// exceed what SUFFICIENT_THROUGHPUT_SHARE requires. Failure: with steps of one, upstreams with six cores
-    /// stayed at a concurrency of three for good.
+    /// The level to try next, and whether enough is known of it. The step is a doubling, as
+    /// the gain of a step of one may be less than SUFFICIENT_THROUGHPUT_SHARE requires.
     pub(super) fn next(&self) -> (usize, bool) {
         let next = (2 * self.count).min(MAX_CONCURRENCY);
         (next, self.level[next].expected >= LEVEL_PRIOR_ANSWERS)
     }
 }
 
-/// Fleet-wide estimates of this proxy. Times are in microseconds.
-#[derive(Debug, Default)]
-pub(super) struct Fleet {
-    pub(super) ts: f64,
-    /// Mean latency of each class (0 before the first answer), and its mean deviation.
-    pub(super) mean: Vec<f64>,
-    pub(super) dev: Vec<f64>,
-    /// By class: share of the attempts still in flight when a second copy was due that were never served.
-    pub(super) unanswered_share: Vec<f64>,
-    /// The longest wait that still meets the aim of every class, and the share of it that each class may use.
-    pub(super) max_wait: f64,
-    pub(super) wait_share: Vec<f64>,
-    pub(super) tp2: f64,
-    /// By kind of upstream; and when the last trials began.
-    pub(super) concurrency: Vec<Concurrency>,
-    pub(super) last_trial: Time,
-    /// This proxy's limit as a multiple of its even share of the fleet's slots; and TS without congestion,
-    /// the baseline for it. Failure: compared with the current TS, a fleet whose proxies all congest it never
-    /// looks congested.
-    pub(super) overcommit: f64,
-    pub(super) baseline_ts: f64,
-    /// Answers of warm upstreams, as a decaying count by kind; and their highest recent rate per microsecond
-    /// and unit of weight, by kind and overall.
-    pub(super) warm_served: Vec<f64>,
-    pub(super) warm_rate: Vec<f64>,
-    pub(super) overall_warm_rate: f64,
-    pub(super) counted: Time,
-    /// Mean number of requests of all proxies at one upstream, from load reports.
-    pub(super) load: Option<f64>,
-    /// Free share of the upstreams' N_i, from load reports: a decaying sum, and its weight.
-    pub(super) free: (f64, f64),
-}
-
 impl Balancer {
     pub(super) fn ts(&self, s: &Server) -> f64 {
         self.fleet.ts * s.estimate.slowness
@@ -180,8 +110,7 @@
 
     /// K_i in whole requests plus the trial offset; at least one, since an upstream without requests would
     /// never update its estimate. If load reports show that all proxies together have fewer than K_i (by the
-    /// least round trip) in flight there, this proxy takes the rest. Failure: the only proxy left after a
-    /// drain left upstreams idle between requests.
+    /// least round trip) in flight there, this proxy takes the rest.
     pub(super) fn k(&self, s: &Server, trial: i32) -> u32 {
         let tp2 = self.tp2(s);
         let bank = self.k_exact(
@@ -204,10 +133,7 @@
         self.fleet.last_trial = now;
         self.fleet.concurrency.iter_mut().for_each(Concurrency::choose);
         // Trials run on one own upstream at a time, or on half of them while nothing is known of the next
-        // level.
-        // Failure: with six cores and trials on one upstream at a time, a quarter of the requests was refused
-        // in the first minute of a day with low load. Only own upstreams, as trials of several proxies would
-        // overlap elsewhere.
+        // level; elsewhere the trials of several proxies would overlap.
         self.servers.iter_mut().for_each(|s| s.trial = 0);
         let own = |&i: &usize| {
             self.servers[i].distance <= OWN_DISTANCE
--- a/src/policy/membership.rs
+++ b/src/policy/membership.rs
@@ -5,8 +5,7 @@
 /// Fractional part of the golden ratio. Its multiples are the proxies' positions on the ring: any consecutive
 /// run of them, and every n-th, is spread evenly.
 const GOLDEN_RATIO_FRACTION: f64 = 0.618_033_988_749_895;
-/// Added to the ring distance of an upstream in another zone where crossing zones has a price: one full
-/// share.
+/// Added to the ring distance in another zone where crossing zones has a price: one full share.
 const CROSS_ZONE_DISTANCE: f64 = 1.0;
 
 impl Balancer {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -20,12 +20,7 @@
 
 use crate::interface::*;
 use crate::state::*;
-use breaker::Breaker;
-use estimates::{Concurrency, Estimate, Fleet};
 
-/// Period of the sweep timer as a share of the shortest aim; short, so that queued requests are refused close
-/// to their time limit.
-const SWEEP_PERIOD_SHARE_OF_AIM: f64 = 1.0 / 32.0;
 /// Weight of a new answer in a moving average: about the last eight answers count.
 const TS_GAIN: f64 = 0.125;
 /// Weight of a new answer in the fleet-wide mean latency of its class.
@@ -34,11 +29,6 @@
 const SLOWNESS_MAX: f64 = 10.0;
 /// Upstreams within this ring distance, half a fair share to either side, are this proxy's own.
 const OWN_DISTANCE: f64 = 0.5;
-/// Initial and least overcommit: a proxy's limit as a multiple of its even share of the fleet's slots. Above
-/// 1 because clients never spread evenly over the proxies.
-const BASE_OVERCOMMIT: f64 = 1.2;
-/// Initial TS before the first answer from any upstream, as a share of T_QoS.
-const INITIAL_TS_SHARE_OF_QOS: f64 = 0.25;
 /// Maximum random delay of a list call, as a share of `ask_every`: restarts of many proxies at once must not
 /// overload the list service.
 const LIST_CALL_JITTER_SHARE: f64 = 0.05;
@@ -48,52 +38,6 @@
 /// A list call that is unanswered for this share of `ask_every` is repeated.
 const LIST_CALL_RETRY_SHARE: f64 = 0.5;
 
-impl Settings {
-    /// T_QoS in microseconds: the mean of the class aims, one target for all classes.
-    fn t_qos(&self) -> f64 {
-        self.classes.iter().map(|c| c.aim.f()).sum::<f64>() / self.classes.len() as f64
-    }
-
-    fn sweep_every(&self) -> Span {
-        let aim = self.classes.iter().map(|c| c.aim.0).min().unwrap_or(0);
-        Span(((aim as f64 * SWEEP_PERIOD_SHARE_OF_AIM) as i64).max(self.tick.0))
-    }
-}
-
-#[derive(Debug)]
-struct Server {
-    id: ServerId,
-    zone: u32,
-    kind: u32,
-    cell: u32,
-    status: Status,
-    weight: f64,
-    started: Option<Time>,
-    identity: u64,
-    in_flight: u32,
-    /// When `in_flight` last changed.
-    in_flight_changed: Time,
-    /// Tripped by rejections and failed connections; `by_class` by errors, resets, time-outs and overdue
-    /// attempts of one class.
-    breaker: Breaker,
-    by_class: Vec<Breaker>,
-    /// Send time of the most recently sent attempt that was answered.
-    last_answered_sent: Time,
-    estimate: Estimate,
-    /// Slow start: token bucket of sends to a recently started upstream, and when it was last refilled.
-    tokens: f64,
-    refilled: Time,
-    /// Trial offset to the concurrency of its kind.
-    trial: i32,
-    /// Mean number of requests that other proxies have in flight there, from load reports; 1 before any
-    /// report.
-    others_in_flight: f64,
-    /// Ring distance from this proxy's position, in units of one proxy's share of the fleet.
-    distance: f64,
-    /// Until when idle connections to it are closed on every sweep, where `drain_close` is set.
-    close_until: Time,
-}
-
 /// The load balancing policy of one proxy in the fleet.
 #[derive(Debug)]
 pub struct Balancer {
@@ -111,8 +55,7 @@
     partitions: Vec<CapacityPartition>,
     /// Index into `partitions` by class.
     partition_of: Vec<usize>,
-    /// Attempts without an outcome, as request and attempt index; and the budget of second copies, in
-    /// attempts.
+    /// Attempts without an outcome, as request and attempt index; and the budget of second copies.
     in_flight_attempts: Vec<(RequestId, usize)>,
     second_copy_budget: f64,
     /// By class: so many upstreams are paused for the class that its pauses are ignored (panic mode).
@@ -151,20 +94,7 @@
             in_flight_attempts: Vec::new(),
             second_copy_budget: 1.0,
             panic: vec![false; classes],
-            fleet: Fleet {
-                ts: t_qos * INITIAL_TS_SHARE_OF_QOS,
-                mean: vec![0.0; classes],
-                dev: vec![0.0; classes],
-                unanswered_share: vec![0.0; classes],
-                max_wait: t_qos * INITIAL_TS_SHARE_OF_QOS,
-                wait_share: vec![1.0; classes],
-                concurrency: vec![Concurrency::new()],
-                last_trial: now,
-                overcommit: BASE_OVERCOMMIT,
-                baseline_ts: t_qos,
-                counted: now,
-                ..Fleet::default()
-            },
+            fleet: Fleet::new(t_qos, classes, now),
             quotas: settings.tenants.iter().map(|_| Quota { tokens: 1.0, counted: now }).collect(),
             list_calls: ListCalls { subscribed: false, next: now, failures: 0 },
             settings,
--- a/src/policy/retries.rs
+++ b/src/policy/retries.rs
@@ -134,11 +134,10 @@
 
     pub(super) fn learn(&mut self, now: Time, class: usize, attempt: Attempt, a: &Answer) {
         let server = attempt.server;
-        // Failure: a single absurd latency distorted the mean of its class for good. Hence the clamp.
+        // Clamped, as a single absurd latency would distort the mean of its class for good.
         let latency = a.latency.f().clamp(1.0, self.settings.classes[class].deadline.f());
         self.count_level(now, server, (a.outcome == Outcome::Ok).then_some(class));
-        // Failure: a second parallel request on trial made the upstream look slow, and drove its proxy to
-        // other proxies' upstreams. Hence latencies on trial are not learned.
+        // Latencies on trial are not learned: they would make the upstream look slow.
         let on_trial = self.servers[server].in_flight > self.k(&self.servers[server], 0);
         if a.outcome == Outcome::Ok && !on_trial {
             self.learn_class_mean(class, latency);
@@ -192,15 +191,13 @@
         }
     }
 
-    /// Adjusts the overcommit limit by whether an answer shows congestion. Failure: when a zone was lost with
-    /// its proxies, the remaining proxies stayed at their shares of the full fleet and refused requests while
-    /// upstreams were idle.
+    /// Adjusts the overcommit limit by whether an answer shows congestion. The remaining
+    /// proxies need more than their shares when others are lost.
     pub(super) fn learn_overcommit(&mut self, latency: f64, a: &Answer) {
         let (f, outcome) = (&mut self.fleet, a.outcome);
         let latency = match outcome {
             Outcome::Ok => latency.min(SLOWNESS_MAX),
-            // Failure: upstreams with empty queues rejected one class, and each rejection cut the limit by a
-            // third. Hence a reported empty queue exempts the rejection.
+            // A rejection with an empty queue is of the class and shows no congestion.
             Outcome::Full if a.report.queue.is_none_or(|q| q >= 1.0) => SLOWNESS_MAX,
             _ => return,
         };
@@ -209,8 +206,7 @@
         } else {
             (f.ts - f.baseline_ts) * BASELINE_TS_GAIN
         };
-        // Failure: the limit fell with every heavy request and rose only when reached. Where only bursts
-        // reach it, it stayed at its minimum, and proxies refused requests while upstreams were idle.
+        // Below the even share, latencies show heavy requests rather than congestion.
         let idle = self.partitions[0].in_flight as f64 + 1.0 < self.partitions[0].even;
         if idle && outcome == Outcome::Ok {
             return;
@@ -267,9 +263,7 @@
             let again = again && !e.ended && !e.in_queue && now < e.queue_until;
             let again = again && self.preference.iter().any(|&i| self.is_eligible(now, e, i));
             let (class, s) = (e.class, &mut self.servers[a.server]);
-            // Failure: each lost answer occupied its slot for two aims, and requests were refused when the
-            // fleet lost a quarter of its answers. An upstream that answered a later attempt has lost this
-            // one.
+            // An upstream that answered a later attempt has lost this one, which frees its slot.
             let lost = late && !a.slot_freed && s.last_answered_sent > a.sent;
             if late && !a.overdue {
                 let mean = self.fleet.mean[class].max(1.0);
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -2,11 +2,10 @@
 
 use super::*;
 
-/// Send rate to an own upstream in slow start, as a share of `fall_multiple`: few proxies own the same
-/// upstream.
+/// Send rate to an own upstream in slow start, as a share of `fall_multiple`; few proxies own it.
 const OWNER_PACE_SHARE: f64 = 1.0 / 3.0;
-/// The send rate keeps rising for this many times the cold period. Failure: at the end of the cold period,
-/// all proxies sent at once.
+/// The send rate keeps rising for this many times the cold period. Otherwise all
+/// proxies would send at once at its end.
 const RAMP_EXTENSION: f64 = 2.0;
 
 impl Balancer {
@@ -40,11 +39,10 @@
         let like = f.warm_rate.get(s.kind as usize).copied().unwrap_or(0.0);
         let rate = s.weight * if like > 0.0 { like } else { f.overall_warm_rate };
         let multiple = self.settings.rules.fall_multiple.max(1.0);
-        // Failure: with all upstreams in slow start, or nothing observed yet, none received any requests.
+        // With all upstreams in slow start, or nothing observed yet, they need requests all the same.
         let min_rate = multiple / f64::from(self.settings.balancers) / f.ts;
         let rate = if rate > 0.0 { rate } else { min_rate };
-        // Failure: a fleet that grew fourfold kept refusing requests: the rate to each new upstream assumed
-        // an even spread over all proxies, but only the proxies that own it sent to it.
+        // Only the proxies that own an upstream send to it, not all of them evenly.
         let owner = if s.distance <= OWN_DISTANCE {
             multiple * OWNER_PACE_SHARE * self.concurrency(s) / f.ts
         } else {
@@ -93,8 +91,7 @@
         let f = &mut self.fleet;
         f.warm_served.iter_mut().for_each(|w| *w *= (-elapsed / window).exp());
         f.warm_rate.resize(weight.len(), 0.0);
-        // Failure: when the warm upstreams slowed down, those in slow start were throttled with them. Hence
-        // the decaying peak instead of the current rate.
+        // A decaying peak, so that slower warm upstreams don't throttle those in slow start.
         let keep = |peak: &mut f64, served: f64, weight: f64| {
             let seen = if weight > 0.0 && served >= 1.0 { served / window / weight } else { 0.0 };
             *peak = (*peak * (-elapsed / cold).exp()).max(seen);
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,9 +1,20 @@
-//! Plain records of the policy on requests and sets of upstreams. Decisions are made in [`crate::policy`].
+//! Plain records of the policy on requests, upstreams and the fleet. Decisions are made in [`crate::policy`].
 
 use std::collections::VecDeque;
 
 use crate::interface::*;
 
+/// Period of the sweep timer as a share of the shortest aim; short, so that queued requests are refused close
+/// to their time limit.
+const SWEEP_PERIOD_SHARE_OF_AIM: f64 = 1.0 / 32.0;
+/// Maximum concurrency of an upstream that is tried.
+pub(crate) const MAX_CONCURRENCY: usize = 32;
+/// Initial and least overcommit: a proxy's limit as a multiple of its even share of the fleet's slots. Above
+/// 1 because clients never spread evenly over the proxies.
+pub(crate) const BASE_OVERCOMMIT: f64 = 1.2;
+/// Initial TS before the first answer from any upstream, as a share of T_QoS.
+pub(crate) const INITIAL_TS_SHARE_OF_QOS: f64 = 0.25;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AttemptState {
     InFlight,
@@ -86,6 +97,141 @@
     pub(crate) expected: f64,
 }
 
+/// Concurrency of one kind of upstream: how many requests it processes in parallel. The paper assumes one,
+/// and upstreams do not report it. It is learned from the rate of answers at each level, that is, number of
+/// own requests in flight at an upstream.
+///
+/// Failure: when estimated from the latency at each level, one core looked like two, because the attempts
+/// that finish before a concurrent one are the short ones.
+#[derive(Clone, Debug)]
+pub(crate) struct Concurrency {
+    pub(crate) count: usize,
+    pub(crate) level: Vec<Level>,
+}
+
+/// Estimates for one upstream: the round trip is split into 2*TP + TS. Times are in microseconds.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Estimate {
+    /// 2*TP, twice the propagation time: the least round trip of any answer. Known once the upstream has
+    /// rejected a request, as a rejection involves no work.
+    pub(crate) tp2: Option<f64>,
+    pub(crate) min_round_trip: f64,
+    /// Service time, including queueing at the upstream, relative to the fleet's mean for the same class.
+    /// TS_i is this times the fleet's TS, so it does not depend on the mix of classes that it received.
+    pub(crate) slowness: f64,
+}
+
+/// A circuit breaker that pauses an upstream after a fault; the pause doubles with each consecutive fault.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Breaker {
+    pub(crate) until: Time,
+    pub(crate) faults: u32,
+}
+
+impl Default for Breaker {
+    fn default() -> Self {
+        Self { until: Time(i64::MIN), faults: 0 }
+    }
+}
+
+/// An upstream as this proxy sees it.
+#[derive(Debug)]
+pub(crate) struct Server {
+    pub(crate) id: ServerId,
+    pub(crate) zone: u32,
+    pub(crate) kind: u32,
+    pub(crate) cell: u32,
+    pub(crate) status: Status,
+    pub(crate) weight: f64,
+    pub(crate) started: Option<Time>,
+    pub(crate) identity: u64,
+    pub(crate) in_flight: u32,
+    /// When `in_flight` last changed.
+    pub(crate) in_flight_changed: Time,
+    /// Tripped by rejections and failed connections; `by_class` by errors, resets, time-outs and overdue
+    /// attempts of one class.
+    pub(crate) breaker: Breaker,
+    pub(crate) by_class: Vec<Breaker>,
+    /// Send time of the most recently sent attempt that was answered.
+    pub(crate) last_answered_sent: Time,
+    pub(crate) estimate: Estimate,
+    /// Slow start: token bucket of sends to a recently started upstream, and when it was last refilled.
+    pub(crate) tokens: f64,
+    pub(crate) refilled: Time,
+    /// Trial offset to the concurrency of its kind.
+    pub(crate) trial: i32,
+    /// Mean number of requests that other proxies have in flight there, from load reports; 1 before any
+    /// report.
+    pub(crate) others_in_flight: f64,
+    /// Ring distance from this proxy's position, in units of one proxy's share of the fleet.
+    pub(crate) distance: f64,
+    /// Until when idle connections to it are closed on every sweep, where `drain_close` is set.
+    pub(crate) close_until: Time,
+}
+
+/// Fleet-wide estimates of this proxy. Times are in microseconds.
+#[derive(Debug, Default)]
+pub(crate) struct Fleet {
+    pub(crate) ts: f64,
+    /// Mean latency of each class (0 before the first answer), and its mean deviation.
+    pub(crate) mean: Vec<f64>,
+    pub(crate) dev: Vec<f64>,
+    /// By class: share of the attempts still in flight when a second copy was due that were never served.
+    pub(crate) unanswered_share: Vec<f64>,
+    /// The longest wait that still meets the aim of every class, and the share of it that each class may use.
+    pub(crate) max_wait: f64,
+    pub(crate) wait_share: Vec<f64>,
+    pub(crate) tp2: f64,
+    /// By kind of upstream; and when the last trials began.
+    pub(crate) concurrency: Vec<Concurrency>,
+    pub(crate) last_trial: Time,
+    /// This proxy's limit as a multiple of its even share of the fleet's slots; and TS without congestion,
+    /// the baseline for it. Failure: compared with the current TS, a fleet whose proxies all congest it never
+    /// looks congested.
+    pub(crate) overcommit: f64,
+    pub(crate) baseline_ts: f64,
+    /// Answers of warm upstreams, as a decaying count by kind; and their highest recent rate per microsecond
+    /// and unit of weight, by kind and overall.
+    pub(crate) warm_served: Vec<f64>,
+    pub(crate) warm_rate: Vec<f64>,
+    pub(crate) overall_warm_rate: f64,
+    pub(crate) counted: Time,
+    /// Mean number of requests of all proxies at one upstream, from load reports.
+    pub(crate) load: Option<f64>,
+    /// Free share of the upstreams' N_i, from load reports: a decaying sum, and its weight.
+    pub(crate) free: (f64, f64),
+}
+
+impl Concurrency {
+    pub(crate) fn new() -> Self {
+        Self { count: 1, level: vec![Level::default(); MAX_CONCURRENCY + 1] }
+    }
+}
+
+impl Estimate {
+    /// Before any answer: the fleet's mean.
+    pub(crate) const NONE: Self = Self { tp2: None, min_round_trip: f64::INFINITY, slowness: 1.0 };
+}
+
+impl Fleet {
+    pub(crate) fn new(t_qos: f64, classes: usize, now: Time) -> Self {
+        Self {
+            ts: t_qos * INITIAL_TS_SHARE_OF_QOS,
+            mean: vec![0.0; classes],
+            dev: vec![0.0; classes],
+            unanswered_share: vec![0.0; classes],
+            max_wait: t_qos * INITIAL_TS_SHARE_OF_QOS,
+            wait_share: vec![1.0; classes],
+            concurrency: vec![Concurrency::new()],
+            last_trial: now,
+            overcommit: BASE_OVERCOMMIT,
+            baseline_ts: t_qos,
+            counted: now,
+            ..Self::default()
+        }
+    }
+}
+
 /// A tenant's share at this proxy, as a token bucket of requests.
 #[derive(Debug)]
 pub(crate) struct Quota {
@@ -139,6 +285,16 @@
 }
 
 impl Settings {
+    /// T_QoS in microseconds: the mean of the class aims, one target for all classes.
+    pub(crate) fn t_qos(&self) -> f64 {
+        self.classes.iter().map(|c| c.aim.f()).sum::<f64>() / self.classes.len() as f64
+    }
+
+    pub(crate) fn sweep_every(&self) -> Span {
+        let aim = self.classes.iter().map(|c| c.aim.0).min().unwrap_or(0);
+        Span(((aim as f64 * SWEEP_PERIOD_SHARE_OF_AIM) as i64).max(self.tick.0))
+    }
+
     /// One partition for the whole fleet and one for each set of upstreams that some class is bound to; and the index
     /// of each class's partition.
     pub(crate) fn partitions(&self) -> (Vec<CapacityPartition>, Vec<usize>) {
