An attempt that times out although its response had begun is logged and counted

Change: a connection counts what it has read since its request began; where an attempt times out after the first byte of its response, a line names the request, the address, the bytes received and the client's time left, and the metric responses_timed_out counts it. SendProgress is AttemptProgress now, since it tells of the response too. No behaviour changed.

--- a/src/bin/hollowpaddle/upstreams.rs
+++ b/src/bin/hollowpaddle/upstreams.rs
@@ -1,10 +1,10 @@
 //! Attempts at upstreams, and the pool of upstream connections.
 
+mod attempt_progress;
 mod connection;
 mod first_part;
 mod forward;
 mod response_progress;
-mod send_progress;
 mod streamed_response;
 
 use std::cell::{Cell, RefCell};
@@ -34,11 +34,11 @@
 use crate::guard::AttemptGuard;
 use crate::memory::{MessageMemory, Reservation};
 use crate::succession::SOCKET_BUFFER_BYTES;
+use attempt_progress::{AttemptProgress, attempt_timeout};
 use connection::{CountedIo, OpenConnectionGuard, UpstreamConnection, Written};
 use first_part::{buffer_first_part, read_first_part};
 pub use forward::{Forward, header_bytes};
 use hollowpaddle::socket::{Socket, Unread};
-use send_progress::{SendProgress, attempt_timeout};
 pub use streamed_response::StreamedResponse;
 
 /// Idle connections are closed at this fraction of the upstream's keep-alive limit. A request sent while the
@@ -103,6 +103,7 @@
     connect_timeout: Duration,
     fields: Vec<(String, Field)>,
     attempts_sent: Counter,
+    responses_timed_out: Counter,
     violations: Violations,
     memory: MessageMemory,
 }
@@ -125,6 +126,7 @@
             connect_timeout: ms(limits.connect_timeout, 250.0),
             fields: names.iter().map(|n| (n.clone(), Field::named(n))).collect(),
             attempts_sent: figures.tries.clone(),
+            responses_timed_out: figures.responses_timed_out.clone(),
             violations: figures.violations.clone(),
             memory,
         });
@@ -288,13 +290,14 @@
         guard: &Rc<AttemptGuard>,
         until: Instant,
     ) -> AttemptResult {
-        let progress = SendProgress::default();
+        let progress = AttemptProgress::default();
         let ended = tokio::select! {
             biased;
             ended = self.exchange(server, guard, until, &progress) => Some(ended),
             () = attempt_timeout(guard.forward(), until, &progress) => None,
         };
         ended.unwrap_or_else(|| {
+            self.record_timeout(guard, &progress);
             // The request timed out before all of it was handed to the kernel, so the upstream cannot have run it.
             AttemptResult::without_response(if progress.certainly_incomplete() {
                 Outcome::ConnectFailed
@@ -304,12 +307,29 @@
         })
     }
 
+    /// Logs and counts an attempt that timed out although its response had begun.
+    fn record_timeout(&self, guard: &AttemptGuard, progress: &AttemptProgress) {
+        let received = progress.response_bytes();
+        if received == 0 {
+            return;
+        }
+        self.responses_timed_out.inc();
+        let left = guard.forward().until.get().saturating_duration_since(Instant::now());
+        tracing::info!(
+            request = guard.forward().id(),
+            address = %guard.target().address.get(),
+            received,
+            left_ms = left.as_millis() as u64,
+            "attempt timed out although its response had begun"
+        );
+    }
+
     async fn exchange(
         self: &Rc<Self>,
         server: ServerId,
         guard: &Rc<AttemptGuard>,
         until: Instant,
-        progress: &SendProgress,
+        progress: &AttemptProgress,
     ) -> AttemptResult {
         let forward = guard.forward();
         loop {
--- a/src/bin/hollowpaddle/upstreams/send_progress.rs
+++ b/src/bin/hollowpaddle/upstreams/attempt_progress.rs
@@ -1,4 +1,4 @@
-//! How much of a request was sent, and the timeout of an attempt while it is being sent.
+//! How far an attempt has come, and its timeout.
 
 use std::cell::RefCell;
 use std::time::Duration;
@@ -13,14 +13,14 @@
 /// How often an upload is checked for a stall.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Tracks how much of a request was handed to the kernel.
+/// Tracks how much of a request was handed to the kernel, and how much of its response has come.
 #[derive(Default)]
-pub(super) struct SendProgress {
+pub(super) struct AttemptProgress {
     written: RefCell<Option<(Written, u64)>>,
     due: RefCell<BodyProgress>,
 }
 
-impl SendProgress {
+impl AttemptProgress {
     /// Begins to track a request on this connection, of which `due` is to be sent.
     pub(super) fn start(&self, written: &Written, due: BodyProgress) {
         let from = written.bytes.get();
@@ -35,6 +35,11 @@
         self.written.borrow().as_ref().map_or(0, |(w, from)| w.bytes.get() - from)
     }
 
+    /// The number of bytes that have come of the response.
+    pub(super) fn response_bytes(&self) -> u64 {
+        self.written.borrow().as_ref().map_or(0, |(written, _)| written.response_bytes.get())
+    }
+
     /// Whether no byte was handed to the kernel.
     pub(super) fn nothing_written(&self) -> bool {
         self.bytes() == 0
@@ -49,7 +54,7 @@
 
 /// Waits until an attempt has timed out. While a request body is being forwarded, that is when the upstream has
 /// stopped reading it.
-pub(super) async fn attempt_timeout(forward: &Forward, until: Instant, progress: &SendProgress) {
+pub(super) async fn attempt_timeout(forward: &Forward, until: Instant, progress: &AttemptProgress) {
     let Some(rest) = &forward.body.rest else { return sleep_until(until).await };
     let allowed = until.saturating_duration_since(Instant::now());
     let stalled = async {
--- a/src/bin/hollowpaddle/upstreams/connection.rs
+++ b/src/bin/hollowpaddle/upstreams/connection.rs
@@ -20,7 +20,7 @@
 use crate::guard::AttemptGuard;
 use crate::memory::{HeadGate, PieceReader};
 
-/// Counts the bytes handed to the kernel on a connection. A request that was not handed over cannot have run.
+/// Counts the bytes handed to the kernel on a connection, and those read from it. A request that was not handed over cannot have run.
 #[derive(Clone, Default)]
 pub(super) struct Written {
     pub(super) bytes: Rc<Cell<u64>>,
@@ -33,6 +33,8 @@
     /// Whether the attempt in flight was permitted by its guard.
     pub(super) permitted: Rc<Cell<bool>>,
     pub(super) violations: Violations,
+    /// The number of bytes read since the request in flight began.
+    pub(super) response_bytes: Rc<Cell<u64>>,
     /// Whether a request was sent whose response head is not read yet.
     pub(super) awaits_head: Rc<Cell<bool>>,
     /// Whether a long head was sent or received, for which the connection holds much memory.
@@ -66,6 +68,10 @@
         Poll::Ready(Ok(written))
     }
 
+    fn add_received(&self, bytes: usize) {
+        self.response_bytes.set(self.response_bytes.get() + bytes as u64);
+    }
+
     pub(super) fn add(&self, n: usize) {
         self.bytes.set(self.bytes.get() + n as u64);
         if self.complete_at.get().is_some_and(|at| self.bytes.get() >= at) {
@@ -103,6 +109,7 @@
         if in_head {
             self.head_gate.record(bytes);
         }
+        self.written.add_received(bytes);
         Poll::Ready(Ok(()))
     }
 }
--- a/src/bin/hollowpaddle/upstreams/forward.rs
+++ b/src/bin/hollowpaddle/upstreams/forward.rs
@@ -7,8 +7,8 @@
 use hyper::{Method, Request, Uri};
 use tokio::time::Instant;
 
+use super::attempt_progress::AttemptProgress;
 use super::connection::Written;
-use super::send_progress::SendProgress;
 use crate::bodies::{BodyProgress, Payload, UpstreamRequestBody};
 use crate::client_connection::ClientInput;
 use crate::guard::AttemptGuard;
@@ -41,7 +41,7 @@
     pub(super) fn request(
         &self,
         until: Instant,
-        progress: &SendProgress,
+        progress: &AttemptProgress,
         written: &Written,
         guard: &Rc<AttemptGuard>,
         short_head_bytes: usize,
@@ -65,6 +65,7 @@
         let head = header_bytes(request.headers());
         due.bytes.set(due.bytes.get() + head as u64);
         written.awaits_head.set(true);
+        written.response_bytes.set(0);
         if head > short_head_bytes {
             written.long_head.set(true);
         }
--- a/src/bin/hollowpaddle/upstreams/tests.rs
+++ b/src/bin/hollowpaddle/upstreams/tests.rs
@@ -39,7 +39,7 @@
     let live = Rc::new(Cell::new(true));
     let (before, violations) = (Instant::now(), Violations::default());
     let guard = AttemptGuard::new(forward.clone(), live, Rc::new(nowhere), before, violations);
-    let progress = SendProgress::default();
+    let progress = AttemptProgress::default();
     assert!(progress.nothing_written() && progress.certainly_incomplete(), "no connection yet");
     let written = Written::default();
     written.bytes.set(1000); // An earlier request on the same connection.
--- a/src/figures/mod.rs
+++ b/src/figures/mod.rs
@@ -117,6 +117,8 @@
     pub tries: Counter,
     /// Requests whose time passed before all of their body was passed on.
     pub uploads_timed_out: Counter,
+    /// Attempts that timed out although their response had begun.
+    pub responses_timed_out: Counter,
     /// Violations of protocol rules.
     pub violations: Violations,
     active: Gauge,
@@ -133,6 +135,7 @@
         let mut registry = Registry::default();
         let requests = Family::<Labels, Counter>::default();
         let (tries, uploads_timed_out) = (Counter::default(), Counter::default());
+        let responses_timed_out = Counter::default();
         let active = Gauge::default();
         let pool: [Gauge; 2] = Default::default();
         registry.register("requests", "Requests ended, by class and how", requests.clone());
@@ -142,6 +145,11 @@
             "Requests whose time passed before all of their body was passed on",
             uploads_timed_out.clone(),
         );
+        registry.register(
+            "responses_timed_out",
+            "Attempts that timed out although their response had begun",
+            responses_timed_out.clone(),
+        );
         registry.register("active", "Requests taken and not ended", active.clone());
         registry.register("pool_size", "Upstreams in the list", pool[0].clone());
         registry.register("pool_ejected", "Upstreams avoided now", pool[1].clone());
@@ -154,6 +162,7 @@
             services,
             tries,
             uploads_timed_out,
+            responses_timed_out,
             violations,
             active,
             pool,
--- a/tests/paced/mod.rs
+++ b/tests/paced/mod.rs
@@ -214,9 +214,9 @@
                 let id = id.expect("an id").to_owned();
                 let number = id.trim_start_matches(|c: char| !c.is_ascii_digit()).parse();
                 seen.lock().expect("attempts").push(id);
-                let plan = number.ok().and_then(|n: usize| {
-                    planned.lock().expect("schedules").get(n).cloned()
-                });
+                let plan = number
+                    .ok()
+                    .and_then(|n: usize| planned.lock().expect("schedules").get(n).cloned());
                 let Some(plan) = plan else { return };
                 if !plan.write(&mut stream).unwrap_or(false) {
                     return;
