A response that has begun is not ended at its class's aim, but at its request's time

Class of fault: a clock for 'nothing has come' that goes on to run once something has. Change: the policy's time ends an attempt of whose response no byte has come (read or in the socket). Once one has, the attempt may use the client's time and 0.3 s, since the final answer is owed half a second after it and a process may be stalled for 0.15 s; the engine's backstop waits as long, and neither goes past the time set at a shutdown. The request's times have a module of their own (deadlines.rs), which the engine, its attempts and the guard share.

--- a/src/bin/hollowpaddle/clients.rs
+++ b/src/bin/hollowpaddle/clients.rs
@@ -33,6 +33,7 @@
 use crate::client_connection::{
     ClientConnection, ObservedStream, RequestGuard, Room, lingering_close,
 };
+use crate::deadlines::Deadlines;
 use crate::engine::Handle;
 use crate::lifecycle::{LINGER, Lifecycle};
 use crate::memory::MessageMemory;
@@ -434,7 +435,7 @@
             uri: origin_form(head.uri),
             headers: upstream_headers(head.headers, length),
             body: Payload { kept, rest, length },
-            until: Cell::new(arrival.until),
+            deadlines: Deadlines::new(arrival.until, read),
             client,
         };
         guard.record_submitted();
--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -32,21 +32,15 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::config::Config;
+use crate::deadlines::{backstop, headroom};
 use crate::guard::AttemptGuard;
 use crate::lateness::Lateness;
-use crate::upstreams::{AttemptResult, Forward, Pool};
+use crate::upstreams::{AttemptProgress, AttemptResult, Forward, Pool};
 use clock::Clock;
 use handle::EngineMessage;
 pub use handle::{Arrival, Handle, Reply};
 use upstream_table::UpstreamTable;
 
-/// The policy's deadline is this much before the client's, which leaves time to deliver the response and for
-/// scheduling delay in this process. Capped at a quarter of the remaining time.
-const MAX_HEADROOM: Duration = Duration::from_millis(15);
-const HEADROOM_DIVISOR: u32 = 4;
-/// The engine answers by itself once only this fraction of the headroom is left and the policy has not answered.
-const BACKSTOP_DIVISOR: u32 = 3;
-
 /// After a stall longer than this fraction of the drain grace, pending list updates are processed before requests.
 const STALL_GRACE_DIVISOR: u32 = 4;
 
@@ -70,16 +64,6 @@
     catalog.services.iter().map(names)
 }
 
-/// The time between the policy's deadline and the client's deadline `until`, for a request that arrives now.
-fn headroom(until: Instant, now: Instant) -> Duration {
-    MAX_HEADROOM.min(until.saturating_duration_since(now) / HEADROOM_DIVISOR)
-}
-
-/// When the engine answers by itself if the policy has not answered a request with this headroom.
-fn backstop(until: Instant, headroom: Duration) -> Instant {
-    until - headroom / BACKSTOP_DIVISOR
-}
-
 /// A request that is unanswered or has attempts in flight.
 struct PendingRequest {
     service: ServiceId,
@@ -88,9 +72,6 @@
     reply: Option<oneshot::Sender<Reply>>,
     /// Shared with the attempts, which check it right before their first byte is written.
     unanswered: Rc<Cell<bool>>,
-    policy_deadline: Instant,
-    /// When the engine answers by itself, unless the body is incomplete.
-    answer_by: Instant,
     /// Set while the request body is still incomplete: the time allowed after its last byte.
     time_after_body: Option<Duration>,
     attempts: Vec<Attempt>,
@@ -102,12 +83,18 @@
     sent_at: Instant,
     /// `Some` while the attempt is in flight; dropping it closes the connection.
     task: Option<AbortOnDrop>,
+    progress: Rc<AttemptProgress>,
 }
 
 impl PendingRequest {
     fn in_flight(&self) -> usize {
         self.attempts.iter().filter(|a| a.task.is_some()).count()
     }
+
+    /// Whether the response of an attempt in flight has begun.
+    fn response_has_begun(&self) -> bool {
+        self.attempts.iter().any(|a| a.task.is_some() && a.progress.response_has_begun())
+    }
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -318,6 +305,7 @@
             EngineMessage::Reload(catalog) => self.reload(catalog),
             EngineMessage::Shutdown(by) => {
                 self.shutdown_deadline = Some(by);
+                self.requests.values().for_each(|r| r.forward.deadlines.set_shutdown(by));
                 let pending =
                     self.requests.keys().map(|id| Reverse((by, TimerKind::Deadline(*id))));
                 self.timers.extend(pending);
@@ -341,10 +329,12 @@
         reply: oneshot::Sender<Reply>,
     ) {
         let client_deadline = self.client_deadline(arrival.until);
-        forward.until.set(client_deadline);
-        let now = Instant::now();
-        let room = headroom(client_deadline, now);
-        let policy_deadline = client_deadline - room;
+        forward.deadlines.set_client(client_deadline, Instant::now());
+        if let Some(by) = self.shutdown_deadline {
+            forward.deadlines.set_shutdown(by);
+        }
+        let (policy_deadline, answer_by) =
+            (forward.deadlines.policy(), forward.deadlines.backstop());
         let complete = forward.body.rest.as_ref().is_none_or(|r| r.is_complete());
         let time_after_body = (!complete).then_some(arrival.time);
         let service = arrival.service;
@@ -353,8 +343,6 @@
             forward: Rc::from(forward),
             reply: Some(reply),
             unanswered: Rc::new(Cell::new(true)),
-            policy_deadline,
-            answer_by: backstop(client_deadline, room),
             time_after_body,
             attempts: Vec::new(),
             last_outcome: None,
@@ -367,7 +355,7 @@
             return self.remove_if_done(id);
         }
         // While the body is incomplete, the deadline is evaluated again each time it seems to have passed.
-        self.timers.push(Reverse((backstop(client_deadline, room), TimerKind::Deadline(id))));
+        self.timers.push(Reverse((answer_by, TimerKind::Deadline(id))));
         let request = d::Request {
             class: arrival.class,
             tenant: arrival.tenant,
@@ -410,6 +398,10 @@
             // Set before the body was complete; another timer is set for the deadline.
             return;
         }
+        if let Some(at) = self.begun_response_due(id) {
+            self.timers.push(Reverse((at, TimerKind::Deadline(id))));
+            return;
+        }
         if self.give_up(id) {
             let request = self.requests.get(&id).and_then(|r| r.forward.id());
             tracing::warn!(
@@ -422,6 +414,14 @@
         self.remove_if_done(id);
     }
 
+    /// By when the engine answers a request if the response that has begun does not come on; `None` if none has, or that time
+    /// has passed.
+    fn begun_response_due(&self, id: RequestId) -> Option<Instant> {
+        let pending = self.requests.get(&id).filter(|pending| pending.reply.is_some())?;
+        let due = pending.forward.deadlines.begun_response_backstop();
+        (pending.response_has_begun() && Instant::now() < due).then_some(due)
+    }
+
     /// Answers a request in place of the policy; returns false if it is already answered.
     fn give_up(&mut self, id: RequestId) -> bool {
         let Some(pending) = self.requests.get(&id) else { return false };
--- a/src/bin/hollowpaddle/engine/attempts.rs
+++ b/src/bin/hollowpaddle/engine/attempts.rs
@@ -48,12 +48,13 @@
         let allowed = if allow.0 > 0 {
             now + Duration::from_micros(allow.0 as u64)
         } else {
-            pending.policy_deadline
+            pending.forward.deadlines.policy()
         };
-        let until = allowed.min(pending.policy_deadline);
+        let until = allowed.min(pending.forward.deadlines.policy());
         let disallowed_copy = pending.in_flight() > 0 && !self.second_copies;
         let target = self.upstreams.target(server);
-        let mut record = Attempt { server, sent_at: now, task: None };
+        let progress = Rc::new(AttemptProgress::default());
+        let mut record = Attempt { server, sent_at: now, task: None, progress: progress.clone() };
         let over = pending.reply.is_none() || attempt >= self.max_attempts || now >= until;
         let over = over || pending.forward.body.is_consumed();
         let (Some(target), false) = (target, over || disallowed_copy) else {
@@ -76,7 +77,7 @@
             return;
         }
         record.task = Some(AbortOnDrop(tokio::task::spawn_local(async move {
-            let result = pool.attempt(server, &guard, until).await;
+            let result = pool.attempt(server, &guard, until, &progress).await;
             let _ = messages.send(EngineMessage::AttemptEnded { id, attempt, result });
         })));
         pending.attempts.push(record);
--- a/src/bin/hollowpaddle/engine/tests.rs
+++ b/src/bin/hollowpaddle/engine/tests.rs
@@ -11,6 +11,7 @@
 use super::*;
 use crate::bodies::Payload;
 use crate::client_connection::{ClientConnection, ClientInput};
+use crate::deadlines::Deadlines;
 use crate::memory::{BufferMemory, MessageMemory};
 use hollowpaddle::socket::Socket;
 
@@ -107,7 +108,7 @@
                 uri: Uri::from_static("/api"),
                 headers: HeaderMap::new(),
                 body: Payload { kept, length: Some(1), ..Payload::default() },
-                until: Cell::new(until),
+                deadlines: Deadlines::new(until, Instant::now()),
                 client: ClientInput::new(connection, 0, client.peer()),
             };
             let from = Instant::now();
--- a/src/bin/hollowpaddle/engine/uploads.rs
+++ b/src/bin/hollowpaddle/engine/uploads.rs
@@ -19,10 +19,7 @@
         let arrived = pending.forward.body.rest.as_ref().map_or(read, |b| b.arrived_at().min(read));
         let until = arrived + time;
         let client_deadline = self.shutdown_deadline.map_or(until, |by| by.min(until));
-        let room = headroom(client_deadline, now);
-        pending.policy_deadline = client_deadline - room;
-        pending.answer_by = backstop(client_deadline, room);
-        pending.forward.until.set(client_deadline);
+        pending.forward.deadlines.set_client(client_deadline, now);
         pending.attempts.iter_mut().filter(|a| a.task.is_some()).for_each(|a| a.sent_at = now);
         tracing::debug!(
             request = pending.forward.id(),
@@ -31,7 +28,7 @@
             left_ms = millis(client_deadline.saturating_duration_since(now)),
             "request body complete"
         );
-        self.timers.push(Reverse((pending.answer_by, TimerKind::Deadline(id))));
+        self.timers.push(Reverse((pending.forward.deadlines.backstop(), TimerKind::Deadline(id))));
         let service = pending.service;
         self.notify_policy(service, Event::BodyComplete(id));
     }
@@ -64,7 +61,7 @@
 
     /// By when the engine answers a request whose body is complete.
     pub(super) fn answer_due(&self, id: RequestId) -> Option<Instant> {
-        Some(self.client_deadline(self.requests.get(&id)?.answer_by))
+        Some(self.requests.get(&id)?.forward.deadlines.backstop())
     }
 
     /// Answers a request whose time is over before all of its body was read, and ends its attempts: they have not sent all
--- a/src/bin/hollowpaddle/guard.rs
+++ b/src/bin/hollowpaddle/guard.rs
@@ -61,6 +61,11 @@
         &self.forward
     }
 
+    /// Whether the request still waits for its answer.
+    pub fn is_unanswered(&self) -> bool {
+        self.unanswered.get()
+    }
+
     /// The upstream that the attempt goes to.
     pub fn target(&self) -> &Target {
         &self.target
@@ -153,6 +158,6 @@
         let Some(sent_deadline) = self.sent_deadline.get().filter(|_| !coming) else {
             return Duration::ZERO;
         };
-        sent_deadline.saturating_sub(self.forward.until.get().saturating_duration_since(now))
+        sent_deadline.saturating_sub(self.forward.deadlines.client().saturating_duration_since(now))
     }
 }
--- a/src/bin/hollowpaddle/main.rs
+++ b/src/bin/hollowpaddle/main.rs
@@ -8,6 +8,7 @@
 mod client_connection;
 mod clients;
 mod config;
+mod deadlines;
 mod engine;
 mod guard;
 mod lateness;
--- a/src/bin/hollowpaddle/upstreams.rs
+++ b/src/bin/hollowpaddle/upstreams.rs
@@ -1,6 +1,7 @@
 //! Attempts at upstreams, and the pool of upstream connections.
 
 mod attempt_progress;
+mod attempt_timeout;
 mod connection;
 mod first_part;
 mod forward;
@@ -34,7 +35,8 @@
 use crate::guard::AttemptGuard;
 use crate::memory::{MessageMemory, Reservation};
 use crate::succession::SOCKET_BUFFER_BYTES;
-use attempt_progress::{AttemptProgress, attempt_timeout};
+pub use attempt_progress::AttemptProgress;
+use attempt_timeout::attempt_timeout;
 use connection::{CountedIo, OpenConnectionGuard, UpstreamConnection, Written};
 use first_part::{buffer_first_part, read_first_part};
 pub use forward::{Forward, header_bytes};
@@ -238,9 +240,10 @@
         let stream = timeout(self.connect_timeout, socket.connect(address)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
         let (attempts_sent, violations) = (self.attempts_sent.clone(), self.violations.clone());
-        let written = Written { attempts_sent, violations, ..Written::default() };
         let socket = Socket::new(stream);
         let peer = socket.peer();
+        let written =
+            Written { attempts_sent, violations, peer: peer.clone(), ..Written::default() };
         let io = CountedIo {
             inner: TokioIo::new(socket),
             written: written.clone(),
@@ -283,21 +286,22 @@
         }
     }
 
-    /// Runs one attempt: at most one request is written. The guard is checked right before its first byte.
+    /// Runs one attempt: at most one request is written. The guard is checked right before its first byte. The policy's
+    /// time `until` ends an attempt that has not begun to be answered.
     pub async fn attempt(
         self: &Rc<Self>,
         server: ServerId,
         guard: &Rc<AttemptGuard>,
         until: Instant,
+        progress: &AttemptProgress,
     ) -> AttemptResult {
-        let progress = AttemptProgress::default();
         let ended = tokio::select! {
             biased;
-            ended = self.exchange(server, guard, until, &progress) => Some(ended),
-            () = attempt_timeout(guard.forward(), until, &progress) => None,
+            ended = self.exchange(server, guard, until, progress) => Some(ended),
+            () = attempt_timeout(guard, until, progress) => None,
         };
         ended.unwrap_or_else(|| {
-            self.record_timeout(guard, &progress);
+            self.record_timeout(guard, progress);
             // The request timed out before all of it was handed to the kernel, so the upstream cannot have run it.
             AttemptResult::without_response(if progress.certainly_incomplete() {
                 Outcome::ConnectFailed
@@ -314,7 +318,7 @@
             return;
         }
         self.responses_timed_out.inc();
-        let left = guard.forward().until.get().saturating_duration_since(Instant::now());
+        let left = guard.forward().deadlines.client().saturating_duration_since(Instant::now());
         tracing::info!(
             request = guard.forward().id(),
             address = %guard.target().address.get(),
--- a/src/bin/hollowpaddle/upstreams/attempt_progress.rs
+++ b/src/bin/hollowpaddle/upstreams/attempt_progress.rs
@@ -1,21 +1,15 @@
-//! How far an attempt has come, and its timeout.
+//! How far an attempt has come.
 
 use std::cell::RefCell;
-use std::time::Duration;
 
-use tokio::time::{Instant, sleep, sleep_until};
+use hollowpaddle::socket::Unread;
 
-use super::STALL_TIMEOUT;
 use super::connection::Written;
-use super::forward::Forward;
 use crate::bodies::BodyProgress;
 
-/// How often an upload is checked for a stall.
-const STALL_CHECK_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Tracks how much of a request was handed to the kernel, and how much of its response has come.
 #[derive(Default)]
-pub(super) struct AttemptProgress {
+pub struct AttemptProgress {
     written: RefCell<Option<(Written, u64)>>,
     due: RefCell<BodyProgress>,
 }
@@ -40,6 +34,12 @@
         self.written.borrow().as_ref().map_or(0, |(written, _)| written.response_bytes.get())
     }
 
+    /// Whether any byte of the response has come, read or unread.
+    pub fn response_has_begun(&self) -> bool {
+        self.response_bytes() > 0
+            || self.written.borrow().as_ref().is_some_and(|(w, _)| w.peer.unread() == Unread::Bytes)
+    }
+
     /// Whether no byte was handed to the kernel.
     pub(super) fn nothing_written(&self) -> bool {
         self.bytes() == 0
@@ -51,27 +51,3 @@
         !due.all.get() || self.bytes() < due.bytes.get().max(1)
     }
 }
-
-/// Waits until an attempt has timed out. While a request body is being forwarded, that is when the upstream has
-/// stopped reading it.
-pub(super) async fn attempt_timeout(forward: &Forward, until: Instant, progress: &AttemptProgress) {
-    let Some(rest) = &forward.body.rest else { return sleep_until(until).await };
-    let allowed = until.saturating_duration_since(Instant::now());
-    let stalled = async {
-        let (mut seen, mut since) = (progress.bytes(), Instant::now());
-        while since.elapsed() < STALL_TIMEOUT {
-            sleep(STALL_CHECK_INTERVAL).await;
-            if rest.is_waiting_for_client() || progress.bytes() != seen {
-                (seen, since) = (progress.bytes(), Instant::now());
-            }
-        }
-    };
-    tokio::select! {
-        how = rest.ended() => match how {
-            Ok(()) => sleep(allowed).await,
-            // The exchange itself fails in this case.
-            Err(_) => std::future::pending().await,
-        },
-        () = stalled => {}
-    }
-}
--- /dev/null
+++ b/src/bin/hollowpaddle/upstreams/attempt_timeout.rs
@@ -0,0 +1,64 @@
+//! Decides when an attempt has timed out.
+//!
+//! The policy's time, often its class's aim, ends an attempt that nothing has come of. Once the response has begun, it may
+//! use the client's time, and a grace after it.
+
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep, sleep_until};
+
+use super::STALL_TIMEOUT;
+use super::attempt_progress::AttemptProgress;
+use crate::bodies::RequestBody;
+use crate::guard::AttemptGuard;
+
+/// How often an upload is checked for a stall.
+const STALL_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Waits until an attempt has timed out, to which the policy gives time `until` then.
+pub(super) async fn attempt_timeout(
+    guard: &AttemptGuard,
+    until: Instant,
+    progress: &AttemptProgress,
+) {
+    match &guard.forward().body.rest {
+        None => sleep_until(until).await,
+        Some(body) => {
+            let allowed = until.saturating_duration_since(Instant::now());
+            tokio::select! {
+                () = received(body) => sleep(allowed).await,
+                () = stalled(body, progress) => return,
+            }
+        }
+    }
+    under_way(guard, progress).await;
+}
+
+/// Waits until all of a body was received. Does not return if it fails, as the exchange itself fails then.
+async fn received(body: &RequestBody) {
+    if body.ended().await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Waits until the upstream has stopped reading a body that is being forwarded.
+async fn stalled(body: &RequestBody, progress: &AttemptProgress) {
+    let (mut seen, mut since) = (progress.bytes(), Instant::now());
+    while since.elapsed() < STALL_TIMEOUT {
+        sleep(STALL_CHECK_INTERVAL).await;
+        if body.is_waiting_for_client() || progress.bytes() != seen {
+            (seen, since) = (progress.bytes(), Instant::now());
+        }
+    }
+}
+
+/// Waits for as long as an attempt that is under way may use the client's time.
+async fn under_way(guard: &AttemptGuard, progress: &AttemptProgress) {
+    let deadlines = &guard.forward().deadlines;
+    while progress.response_has_begun()
+        && guard.is_unanswered()
+        && Instant::now() < deadlines.begun_response()
+    {
+        sleep_until(deadlines.begun_response()).await;
+    }
+}
--- a/src/bin/hollowpaddle/upstreams/connection.rs
+++ b/src/bin/hollowpaddle/upstreams/connection.rs
@@ -37,6 +37,7 @@
     pub(super) response_bytes: Rc<Cell<u64>>,
     /// Whether a request was sent whose response head is not read yet.
     pub(super) awaits_head: Rc<Cell<bool>>,
+    pub(super) peer: Peer,
     /// Whether a long head was sent or received, for which the connection holds much memory.
     pub(super) long_head: Rc<Cell<bool>>,
 }
--- a/src/bin/hollowpaddle/upstreams/forward.rs
+++ b/src/bin/hollowpaddle/upstreams/forward.rs
@@ -1,6 +1,5 @@
 //! A client's request as it is sent to upstreams.
 
-use std::cell::Cell;
 use std::rc::Rc;
 
 use hyper::header::{HeaderMap, HeaderValue};
@@ -11,6 +10,7 @@
 use super::connection::Written;
 use crate::bodies::{BodyProgress, Payload, UpstreamRequestBody};
 use crate::client_connection::ClientInput;
+use crate::deadlines::Deadlines;
 use crate::guard::AttemptGuard;
 
 /// A client's request as it is forwarded, shared by all of its attempts.
@@ -19,8 +19,7 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: Payload,
-    /// The client's deadline; set again once the request body is complete.
-    pub until: Cell<Instant>,
+    pub deadlines: Deadlines,
     /// The connection of the client that waits for the answer.
     pub client: ClientInput,
 }
--- a/src/bin/hollowpaddle/upstreams/streamed_response.rs
+++ b/src/bin/hollowpaddle/upstreams/streamed_response.rs
@@ -48,7 +48,7 @@
         return_to: (Rc<Pool>, ServerId, UpstreamConnection),
     ) -> Self {
         let size = length.map_or(Size::Unknown, Size::Declared);
-        let deadline = forward.until.get();
+        let deadline = forward.deadlines.client();
         Self {
             request: forward.id().map(str::to_owned),
             body,
--- a/src/bin/hollowpaddle/upstreams/tests.rs
+++ b/src/bin/hollowpaddle/upstreams/tests.rs
@@ -5,6 +5,7 @@
 use super::*;
 use crate::bodies::Payload;
 use crate::client_connection::{ClientConnection, ClientInput};
+use crate::deadlines::Deadlines;
 use crate::memory::BufferMemory;
 
 #[test]
@@ -29,7 +30,7 @@
         uri: Uri::from_static("/api"),
         headers: HeaderMap::new(),
         body: Payload { kept: Bytes::from_static(b"0123456789"), ..Payload::default() },
-        until: Cell::new(Instant::now()),
+        deadlines: Deadlines::new(Instant::now(), Instant::now()),
         client: ClientInput::new(connection, 0, Peer::default()),
     });
     let nowhere = Target {
