A response's pace counts from its first piece also where there is no memory to buffer it

What callers would see: a 200 that is cut off half a second after the deadline, though its upstream writes 64 kB/s, where memory for buffers is used up, the response has no length and its body begins late. Cause: without memory the head was passed on at once, and ResponseProgress counted the pace from there: 48,000 bytes in 0.6 s seemed to have taken 2.4 s, too slow for a large response. The attempt also counted as answered with its head, so that the policy learnt a latency without the response. Change: the first piece of a body that is not declared to be large is waited for in any case, and memory is reserved only then; where there is none the stream begins with that piece, in its one place, so that no connection holds more than before. What waits for its body holds no reserved memory any more.

--- a/src/bin/hollowpaddle/upstreams.rs
+++ b/src/bin/hollowpaddle/upstreams.rs
@@ -13,7 +13,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use hollowpaddle::figures::Figures;
 use hollowpaddle::interface::{Outcome, Report, ServerId};
 use hollowpaddle::invariants::permit::Denial;
@@ -38,7 +37,7 @@
 pub use attempt_progress::AttemptProgress;
 use attempt_timeout::attempt_timeout;
 use connection::{CountedIo, OpenConnectionGuard, UpstreamConnection, Written};
-use first_part::{buffer_first_part, read_first_part};
+use first_part::{FirstPart, discard, read_first_part};
 pub use forward::{Forward, header_bytes};
 use hollowpaddle::socket::{Socket, Unread};
 pub use streamed_response::StreamedResponse;
@@ -407,15 +406,13 @@
         // The body of an unsuccessful response is not forwarded.
         let serves = outcome == Outcome::Ok;
         let length = body.size_hint().exact();
-        let reserved = serves.then(|| self.reserve_for_response(length)).flatten();
-        let buffered = match (serves, reserved) {
-            (true, Some(reserved)) => buffer_first_part(&mut body, length, reserved).await,
-            (true, None) => Ok((Bytes::new(), body.is_end_stream())),
-            (false, _) => {
-                read_first_part(&mut body, length, |_| {}).await.map(|done| (Bytes::new(), done))
-            }
+        let first = if serves {
+            read_first_part(&mut body, length, || self.reserve_for_response(length)).await
+        } else {
+            let complete = discard(&mut body).await;
+            complete.map(|complete| FirstPart { complete, ..FirstPart::default() })
         };
-        let Ok((kept, complete)) = buffered else {
+        let Ok(FirstPart { kept, unbuffered, complete }) = first else {
             // The response was cut short: the request ran, and there is nothing to forward.
             return AttemptResult { report, ..AttemptResult::without_response(Outcome::Reset) };
         };
@@ -424,7 +421,8 @@
             None
         } else {
             let return_to = (self.clone(), server, connection);
-            Some(StreamedResponse::new(forward, body, kept.len(), length, return_to))
+            let rest = StreamedResponse::new(forward, body, kept.len(), length, return_to);
+            Some(rest.beginning_with(unbuffered))
         };
         let response =
             serves.then(|| Box::new(Response::from_parts(head, UpstreamResponse { kept, rest })));
--- a/src/bin/hollowpaddle/upstreams/first_part.rs
+++ b/src/bin/hollowpaddle/upstreams/first_part.rs
@@ -14,48 +14,75 @@
 /// part is forwarded: the latency of a large response is measured at its first bytes.
 const COMPLETE_BODY_TIMEOUT: Duration = Duration::from_millis(20);
 
-/// Buffers the first part of a body in reserved memory. Also returns whether the body is complete.
-pub(super) async fn buffer_first_part(
-    body: &mut Incoming,
-    length: Option<u64>,
-    reserved: Reservation,
-) -> Result<(Bytes, bool), hyper::Error> {
-    let expected = length.map_or(0, |length| usize::try_from(length).unwrap_or(0));
-    let mut buffer = BodyBuffer::new(MAX_BUFFERED_BYTES, expected.min(MAX_BUFFERED_BYTES));
-    let complete = read_first_part(body, length, |piece| buffer.append(piece)).await?;
-    Ok((buffer.finish(Some(reserved)), complete))
+/// What is read of a response before any of it is forwarded.
+#[derive(Default)]
+pub(super) struct FirstPart {
+    /// The buffered part: the complete body, or its beginning.
+    pub(super) kept: Bytes,
+    /// The first piece of a body that there was no memory to buffer.
+    pub(super) unbuffered: Option<Bytes>,
+    /// Whether the body is complete.
+    pub(super) complete: bool,
 }
 
-/// Reads a body until it ends or exceeds the buffer limit; if its size is unknown, for a limited time. Returns whether the
-/// body is complete.
+/// Reads the first part of a response that is to be forwarded, into memory from `reserve`. The head of a response that is
+/// declared to be large is not held back for it. Any other is waited for until a piece of its body has come: its pace is
+/// counted from there.
 pub(super) async fn read_first_part(
     body: &mut Incoming,
     length: Option<u64>,
-    mut on_piece: impl FnMut(&Bytes),
-) -> Result<bool, hyper::Error> {
+    reserve: impl FnOnce() -> Option<Reservation>,
+) -> Result<FirstPart, hyper::Error> {
     if length.is_some_and(|n| n > MAX_BUFFERED_BYTES as u64) {
-        return Ok(body.is_end_stream());
+        return Ok(FirstPart::default());
     }
     let by = Instant::now() + COMPLETE_BODY_TIMEOUT;
+    let Some(piece) = next_piece(body).await? else {
+        return Ok(FirstPart { complete: true, ..FirstPart::default() });
+    };
+    let Some(reserved) = reserve() else {
+        // A copy, because the piece may share the larger read buffer that it arrived in.
+        let unbuffered = Some(Bytes::copy_from_slice(&piece));
+        return Ok(FirstPart { unbuffered, ..FirstPart::default() });
+    };
+    let expected = length.map_or(0, |length| usize::try_from(length).unwrap_or(0));
+    let mut buffer = BodyBuffer::new(MAX_BUFFERED_BYTES, expected.min(MAX_BUFFERED_BYTES));
+    buffer.append(&piece);
+    let complete = match length {
+        Some(_) => read_on(body, &mut buffer).await?,
+        None => match timeout_at(by, read_on(body, &mut buffer)).await {
+            Ok(complete) => complete?,
+            Err(_) => false,
+        },
+    };
+    Ok(FirstPart { kept: buffer.finish(Some(reserved)), unbuffered: None, complete })
+}
+
+/// Reads and drops a body until it ends or exceeds the buffer limit. Returns whether it is complete.
+pub(super) async fn discard(body: &mut Incoming) -> Result<bool, hyper::Error> {
     let mut read = 0;
-    loop {
-        let frame = match length {
-            Some(_) => Ok(body.frame().await),
-            None => timeout_at(by, body.frame()).await,
-        };
-        let frame = match frame {
-            Ok(frame) => frame,
-            // Timed out with nothing to forward yet: waits for the first frame.
-            Err(_) if read == 0 => body.frame().await,
-            Err(_) => return Ok(false),
-        };
-        let Some(frame) = frame else { return Ok(true) };
+    while read <= MAX_BUFFERED_BYTES {
+        let Some(piece) = next_piece(body).await? else { return Ok(true) };
+        read += piece.len();
+    }
+    Ok(body.is_end_stream())
+}
+
+/// Reads a body until it ends or the buffer is full. Returns whether it is complete.
+async fn read_on(body: &mut Incoming, buffer: &mut BodyBuffer) -> Result<bool, hyper::Error> {
+    while !buffer.is_full() {
+        let Some(piece) = next_piece(body).await? else { return Ok(true) };
+        buffer.append(&piece);
+    }
+    Ok(body.is_end_stream())
+}
+
+/// The next piece of a body; `None` at its end. Trailers are skipped.
+async fn next_piece(body: &mut Incoming) -> Result<Option<Bytes>, hyper::Error> {
+    while let Some(frame) = body.frame().await {
         if let Ok(piece) = frame?.into_data() {
-            on_piece(&piece);
-            read += piece.len();
-        }
-        if read > MAX_BUFFERED_BYTES {
-            return Ok(body.is_end_stream());
+            return Ok(Some(piece));
         }
     }
+    Ok(None)
 }
--- a/src/bin/hollowpaddle/upstreams/streamed_response.rs
+++ b/src/bin/hollowpaddle/upstreams/streamed_response.rs
@@ -27,6 +27,8 @@
 pub struct StreamedResponse {
     /// The `X-Request-Id` of the request.
     request: Option<String>,
+    /// A piece that was read before any was forwarded, and is not forwarded yet.
+    first: Option<Bytes>,
     body: Incoming,
     return_to: Option<(Rc<Pool>, ServerId, UpstreamConnection)>,
     progress: ResponseProgress,
@@ -51,6 +53,7 @@
         let deadline = forward.deadlines.client();
         Self {
             request: forward.id().map(str::to_owned),
+            first: None,
             body,
             return_to: Some(return_to),
             progress: ResponseProgress::new(deadline, size, received as u64, Instant::now()),
@@ -62,9 +65,19 @@
         }
     }
 
+    /// Forwards this piece of the body, which was read already, before the rest of it.
+    pub(super) fn beginning_with(mut self, piece: Option<Bytes>) -> Self {
+        if let Some(piece) = &piece {
+            self.progress.record(piece.len(), Instant::now());
+        }
+        self.first = piece;
+        self
+    }
+
     /// The number of remaining bytes, if known.
     pub fn left(&self) -> Option<u64> {
-        self.body.size_hint().exact()
+        let first = self.first.as_ref().map_or(0, |piece| piece.len() as u64);
+        self.body.size_hint().exact().map(|rest| first + rest)
     }
 
     /// Whether the response was forwarded completely.
@@ -117,6 +130,12 @@
     /// The next piece; `None` at the end.
     pub fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
         ready!(self.slot.poll_free(cx));
+        if let Some(piece) = self.first.take() {
+            if self.body.is_end_stream() {
+                self.end();
+            }
+            return Poll::Ready(Some(Ok(self.slot.hold(piece))));
+        }
         loop {
             match Pin::new(&mut self.body).poll_frame(cx) {
                 Poll::Ready(Some(Ok(frame))) => {
--- a/tests/responses.rs
+++ b/tests/responses.rs
@@ -7,6 +7,9 @@
 #[allow(dead_code)] // Each test file uses a part of the stubs.
 mod stubs;
 
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
 use paced::*;
 
 const DEADLINE_MS: u64 = 2000;
@@ -14,6 +17,12 @@
 const SMALL: usize = 20_000;
 const LARGE: usize = 180_000;
 
+/// Lets one test run at a time: each has up to a hundred clients, and judges by clocks.
+fn alone() -> MutexGuard<'static, ()> {
+    static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+    ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// A body of this size in pieces, the first at `first_at_ms` and the others 64 kB/s after it.
 fn body(bytes: usize, first_at_ms: u64) -> Vec<Piece> {
     let piece = 16_000;
@@ -49,6 +58,7 @@
 /// method and aim.
 #[test]
 fn response_that_has_begun_is_not_ended_at_its_class_aim() {
+    let _alone = alone();
     let mut exchanges = Vec::new();
     for framing in FRAMINGS {
         for bytes in [SMALL, LARGE] {
@@ -64,3 +74,96 @@
     let wrong = wrong(&exchanges, &got, is_right);
     assert!(wrong.is_empty(), "{} of {}: {wrong:#?}", wrong.len(), exchanges.len());
 }
+
+/// A response that is declared to be large is ended once its upstream has been silent for this long.
+const STALL_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// By when a response that stops for good has to be ended. Of a large one only the first bytes are timed (DAYS), and its
+/// head is passed on as it comes.
+fn end_limit(exchange: &Exchange) -> Duration {
+    let Schedule { framing, declared, head_at_ms, pieces, .. } = &exchange.schedule;
+    let in_time = Duration::from_millis(exchange.deadline_ms) + ANSWER_GRACE;
+    let declared_large = *framing == Framing::Length && *declared == LARGE;
+    if !declared_large || head_at_ms[1] > exchange.deadline_ms {
+        return in_time;
+    }
+    let last = pieces.last().map_or(0, |piece| piece.at_ms);
+    Duration::from_millis(last) + STALL_TIMEOUT + ANSWER_GRACE
+}
+
+/// Guards against a response that stops for good, in its head or its body, being waited for past its time: by framing, size,
+/// method, and an aim under, at and over the deadline.
+#[test]
+fn response_that_stops_for_good_is_answered_once_in_its_time() {
+    let _alone = alone();
+    let deadline_ms = 1000;
+    let mut exchanges = Vec::new();
+    for framing in FRAMINGS {
+        for declared in [SMALL, LARGE] {
+            let piece = |bytes| vec![Piece { at_ms: 300, bytes }];
+            let before_body = Schedule::unfinished(framing, Vec::new(), declared);
+            let in_head = Schedule { head_at_ms: [0, 60_000], ..before_body.clone() };
+            let in_body = Schedule::unfinished(framing, piece(SMALL - 1), declared);
+            for schedule in [before_body, in_head, in_body] {
+                exchanges.extend(requests(&[300, deadline_ms, 3000], &schedule));
+            }
+        }
+    }
+    exchanges.iter_mut().for_each(|exchange| exchange.deadline_ms = deadline_ms);
+    let fleet = PacedFleet::start(&exchanges, AMPLE);
+    let got = fleet.play(&exchanges);
+    let is_right = |exchange: &Exchange, got: &Got| {
+        got.ended_after <= end_limit(exchange)
+            && (got.status >= 500 || got.status == 200 && !got.whole)
+    };
+    let wrong = wrong(&exchanges, &got, is_right);
+    assert!(wrong.is_empty(), "{} of {}: {wrong:#?}", wrong.len(), exchanges.len());
+}
+
+/// Guards against a response being ended in a gap that begins before its deadline and ends soon after it.
+#[test]
+fn response_with_a_gap_over_its_deadline_is_whole() {
+    let _alone = alone();
+    let deadline_ms = 1000;
+    let mut exchanges = Vec::new();
+    for framing in FRAMINGS {
+        for bytes in [SMALL, LARGE] {
+            let piece = |n: usize, bytes| Piece { at_ms: deadline_ms + 50 + 500 * n as u64, bytes };
+            // A small one has to end soon after its deadline; a large one goes on at 64 kB/s.
+            let late: Vec<Piece> = match bytes > SMALL {
+                true => (0..5).map(|n| piece(n, bytes / 5)).collect(),
+                false => vec![piece(0, bytes)],
+            };
+            let mut gap = late.clone();
+            gap.insert(0, Piece { at_ms: 200, bytes: 1 });
+            exchanges.extend(requests(&[300, 3000], &Schedule::whole(framing, late)));
+            exchanges.extend(requests(&[300, 3000], &Schedule::whole(framing, gap)));
+        }
+    }
+    exchanges.iter_mut().for_each(|exchange| exchange.deadline_ms = deadline_ms);
+    let fleet = PacedFleet::start(&exchanges, AMPLE);
+    let got = fleet.play(&exchanges);
+    let is_right = |exchange: &Exchange, got: &Got| got.is_all_of(&exchange.schedule);
+    let wrong = wrong(&exchanges, &got, is_right);
+    assert!(wrong.is_empty(), "{} of {}: {wrong:#?}", wrong.len(), exchanges.len());
+}
+
+/// Guards against a response that begins late being ended where there is no memory to buffer its first part.
+#[test]
+fn response_that_begins_late_is_whole_where_memory_is_scarce() {
+    let _alone = alone();
+    let mut exchanges = Vec::new();
+    for framing in FRAMINGS {
+        for (bytes, first_at_ms) in [(SMALL, 1300), (LARGE, 1300), (LARGE, 1850)] {
+            let whole = Schedule::whole(framing, body(bytes, first_at_ms));
+            for _ in 0..8 {
+                exchanges.extend(requests(&[400], &whole));
+            }
+        }
+    }
+    let fleet = PacedFleet::start(&exchanges, SCARCE);
+    let got = fleet.play(&exchanges);
+    let is_right = |exchange: &Exchange, got: &Got| got.is_all_of(&exchange.schedule);
+    let wrong = wrong(&exchanges, &got, is_right);
+    assert!(wrong.is_empty(), "{} of {}: {wrong:#?}", wrong.len(), exchanges.len());
+}
