An error counts at its head, and a rejection (X-Not-Run) only once all of it has come

Change: the body of an error is read for 20 ms, so that its connection can be used again, and the error counts.

--- a/src/bin/hollowpaddle/upstreams.rs
+++ b/src/bin/hollowpaddle/upstreams.rs
@@ -37,7 +37,7 @@
 pub use attempt_progress::AttemptProgress;
 use attempt_timeout::attempt_timeout;
 use connection::{CountedIo, OpenConnectionGuard, UpstreamConnection, Written};
-use first_part::{FirstPart, discard, read_first_part};
+use first_part::{FirstPart, discard, discard_promptly, read_first_part};
 pub use forward::{Forward, header_bytes};
 use hollowpaddle::socket::{Socket, Unread};
 pub use streamed_response::StreamedResponse;
@@ -406,14 +406,18 @@
         // The body of an unsuccessful response is not forwarded.
         let serves = outcome == Outcome::Ok;
         let length = body.size_hint().exact();
-        let first = if serves {
-            read_first_part(&mut body, length, || self.reserve_for_response(length)).await
-        } else {
-            let complete = discard(&mut body).await;
-            complete.map(|complete| FirstPart { complete, ..FirstPart::default() })
+        let first = match outcome {
+            Outcome::Ok => {
+                read_first_part(&mut body, length, || self.reserve_for_response(length)).await
+            }
+            Outcome::Full => discard(&mut body).await,
+            // An error is one whatever its body; the connection is used again if all of it is here.
+            _ => discard_promptly(&mut body).await,
         };
-        let Ok(FirstPart { kept, unbuffered, complete }) = first else {
-            // The response was cut short: the request ran, and there is nothing to forward.
+        // A rejection that is not whole proves nothing.
+        let first = first.ok().filter(|first| first.complete || outcome != Outcome::Full);
+        let Some(FirstPart { kept, unbuffered, complete }) = first else {
+            // The response was cut short: the request may have run, and there is nothing to forward.
             return AttemptResult { report, ..AttemptResult::without_response(Outcome::Reset) };
         };
         let rest = if complete {
--- a/src/bin/hollowpaddle/upstreams/first_part.rs
+++ b/src/bin/hollowpaddle/upstreams/first_part.rs
@@ -5,13 +5,13 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::bodies::{BodyBuffer, MAX_BUFFERED_BYTES};
 use crate::memory::Reservation;
 
 /// How long to wait for a response of unknown size to be complete or to exceed the buffer limit, before its first
-/// part is forwarded: the latency of a large response is measured at its first bytes.
+/// part is forwarded: the latency of a large response is measured at its first bytes. And for the body of an error.
 const COMPLETE_BODY_TIMEOUT: Duration = Duration::from_millis(20);
 
 /// What is read of a response before any of it is forwarded.
@@ -25,6 +25,13 @@
     pub(super) complete: bool,
 }
 
+impl FirstPart {
+    /// An empty body, or one of which nothing is kept.
+    fn whole() -> Self {
+        Self { complete: true, ..Self::default() }
+    }
+}
+
 /// Reads the first part of a response that is to be forwarded, into memory from `reserve`. The head of a response that is
 /// declared to be large is not held back for it. Any other is waited for until a piece of its body has come: its pace is
 /// counted from there.
@@ -38,7 +45,7 @@
     }
     let by = Instant::now() + COMPLETE_BODY_TIMEOUT;
     let Some(piece) = next_piece(body).await? else {
-        return Ok(FirstPart { complete: true, ..FirstPart::default() });
+        return Ok(FirstPart::whole());
     };
     let Some(reserved) = reserve() else {
         // A copy, because the piece may share the larger read buffer that it arrived in.
@@ -58,14 +65,19 @@
     Ok(FirstPart { kept: buffer.finish(Some(reserved)), unbuffered: None, complete })
 }
 
-/// Reads and drops a body until it ends or exceeds the buffer limit. Returns whether it is complete.
-pub(super) async fn discard(body: &mut Incoming) -> Result<bool, hyper::Error> {
+/// Reads and drops a body until it ends or exceeds the buffer limit.
+pub(super) async fn discard(body: &mut Incoming) -> Result<FirstPart, hyper::Error> {
     let mut read = 0;
     while read <= MAX_BUFFERED_BYTES {
-        let Some(piece) = next_piece(body).await? else { return Ok(true) };
+        let Some(piece) = next_piece(body).await? else { return Ok(FirstPart::whole()) };
         read += piece.len();
     }
-    Ok(body.is_end_stream())
+    Ok(FirstPart { complete: body.is_end_stream(), ..FirstPart::default() })
+}
+
+/// Does the same for a limited time.
+pub(super) async fn discard_promptly(body: &mut Incoming) -> Result<FirstPart, hyper::Error> {
+    timeout(COMPLETE_BODY_TIMEOUT, discard(body)).await.unwrap_or(Ok(FirstPart::default()))
 }
 
 /// Reads a body until it ends or the buffer is full. Returns whether it is complete.
--- a/tests/paced/mod.rs
+++ b/tests/paced/mod.rs
@@ -111,9 +111,16 @@
     pub aim_ms: u64,
     pub deadline_ms: u64,
     pub schedule: Schedule,
+    /// What is written for further attempts.
+    pub retried: Option<Schedule>,
 }
 
 impl Exchange {
+    /// What is written for this attempt, from 0.
+    fn planned(&self, attempt: usize) -> Schedule {
+        self.retried.as_ref().filter(|_| attempt > 0).unwrap_or(&self.schedule).clone()
+    }
+
     fn class(&self) -> String {
         let effect = if self.safe { "retryable" } else { "fragile" };
         format!("{effect}-{}", self.aim_ms)
@@ -188,13 +195,15 @@
 /// A proxy before an upstream that is listed often enough for all requests, and writes what is planned for each by its id.
 pub struct PacedFleet {
     pub node: Node,
-    pub upstream: SocketAddr,
-    pub file: Value,
-    schedules: Arc<Mutex<Vec<Schedule>>>,
-    /// The ids of the requests that upstreams have read, in their order.
-    pub attempts: Arc<Mutex<Vec<String>>>,
+    upstream: SocketAddr,
+    exchanges: Arc<Mutex<Vec<Exchange>>>,
+    /// The numbers of the requests that upstreams have read, in their order.
+    attempts: Arc<Mutex<Vec<usize>>>,
 }
 
+/// How often the upstream is listed, so that each request finds a free slot.
+const UPSTREAMS: usize = 400;
+
 /// Limits of a proxy with ample memory, and of one with little: megabytes and descriptors.
 pub const AMPLE: (usize, usize) = (192, 1024);
 pub const SCARCE: (usize, usize) = (32, 1024);
@@ -202,33 +211,38 @@
 impl PacedFleet {
     /// Starts a proxy with classes for these exchanges.
     pub fn start(exchanges: &[Exchange], (memory_mb, descriptors): (usize, usize)) -> Self {
-        let schedules: Arc<Mutex<Vec<Schedule>>> =
-            Arc::new(Mutex::new(exchanges.iter().map(|e| e.schedule.clone()).collect()));
-        let attempts: Arc<Mutex<Vec<String>>> = Arc::default();
+        let planned: Arc<Mutex<Vec<Exchange>>> = Arc::default();
+        let attempts: Arc<Mutex<Vec<usize>>> = Arc::default();
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let (planned, seen) = (schedules.clone(), attempts.clone());
+        let (plans, seen) = (planned.clone(), attempts.clone());
         let upstream = serve_connections(listener, move |mut stream| {
             let _ = stream.set_nodelay(true);
             while let Some((head, _)) = read_head(&stream) {
-                let id = head.lines().find_map(|l| l.strip_prefix("x-request-id: "));
-                let id = id.expect("an id").to_owned();
-                let number = id.trim_start_matches(|c: char| !c.is_ascii_digit()).parse();
-                seen.lock().expect("attempts").push(id);
-                let plan = number
-                    .ok()
-                    .and_then(|n: usize| planned.lock().expect("schedules").get(n).cloned());
-                let Some(plan) = plan else { return };
+                let id = head.lines().find_map(|l| l.strip_prefix("x-request-id: r"));
+                let number: usize = id.and_then(|id| id.parse().ok()).expect("an id");
+                let attempt = record_attempt(&seen, number);
+                let plan = plans.lock().expect("exchanges")[number].planned(attempt);
                 if !plan.write(&mut stream).unwrap_or(false) {
                     return;
                 }
             }
         });
-        let listed = (0..400).map(|i| member(&format!("s-{i}"), upstream, "SERVING")).collect();
-        let mut file = config(listed);
+        let mut file = config(listed(upstream, "SERVING"));
         file["limits"] = json!({"cores": 1.0, "memory_mb": memory_mb, "sockets": descriptors});
         file["settings"]["Services"] = services(exchanges);
         let node = Node::managed(&file);
-        Self { node, upstream, file, schedules, attempts }
+        Self { node, upstream, exchanges: planned, attempts }
+    }
+
+    /// The members of the list, in this phase.
+    pub fn listed(&self, phase: &str) -> Vec<Value> {
+        listed(self.upstream, phase)
+    }
+
+    /// The number of attempts of this request that upstreams have read.
+    pub fn attempts(&self, number: usize) -> usize {
+        let seen = self.attempts.lock().expect("attempts");
+        seen.iter().filter(|other| **other == number).count()
     }
 
     /// Sends all requests at once; returns what each client got, in their order.
@@ -238,8 +252,7 @@
 
     /// Sends all requests at once, and does something else meanwhile.
     pub fn play_with(&self, exchanges: &[Exchange], meanwhile: impl FnOnce()) -> Vec<Got> {
-        *self.schedules.lock().expect("schedules") =
-            exchanges.iter().map(|e| e.schedule.clone()).collect();
+        *self.exchanges.lock().expect("exchanges") = exchanges.to_vec();
         let address = self.node.address;
         let start = |(n, exchange): (usize, &Exchange)| {
             let request = exchange.request(&format!("r{n}"));
@@ -252,6 +265,17 @@
     }
 }
 
+fn listed(upstream: SocketAddr, phase: &str) -> Vec<Value> {
+    (0..UPSTREAMS).map(|i| member(&format!("s-{i}"), upstream, phase)).collect()
+}
+
+/// Records an attempt of this request; returns how many there were before.
+fn record_attempt(seen: &Mutex<Vec<usize>>, number: usize) -> usize {
+    let mut seen = seen.lock().expect("attempts");
+    seen.push(number);
+    seen.iter().filter(|other| **other == number).count() - 1
+}
+
 /// The request classes that these exchanges name.
 fn services(exchanges: &[Exchange]) -> Value {
     let mut classes: Vec<(String, &Exchange)> =
--- a/tests/responses.rs
+++ b/tests/responses.rs
@@ -2,7 +2,6 @@
 
 #[allow(dead_code)] // Each test file uses a part of the helpers.
 mod load;
-#[allow(dead_code)] // Used by the tests of the next commits.
 mod paced;
 #[allow(dead_code)] // Each test file uses a part of the stubs.
 mod stubs;
@@ -10,7 +9,10 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use serde_json::{Value, json};
+
 use paced::*;
+use stubs::chunk;
 
 const DEADLINE_MS: u64 = 2000;
 const AIMS_MS: [u64; 3] = [200, 400, 1000];
@@ -39,6 +41,7 @@
             aim_ms: *aim_ms,
             deadline_ms: DEADLINE_MS,
             schedule: schedule.clone(),
+            retried: None,
         })
     };
     aims_ms.iter().flat_map(of_aim).collect()
@@ -167,3 +170,111 @@
     let wrong = wrong(&exchanges, &got, is_right);
     assert!(wrong.is_empty(), "{} of {}: {wrong:#?}", wrong.len(), exchanges.len());
 }
+
+/// A small response, at once.
+fn prompt() -> Schedule {
+    Schedule::whole(Framing::Length, vec![Piece { at_ms: 0, bytes: SMALL }])
+}
+
+/// Guards against an error whose body comes late, or never, keeping a request from being sent elsewhere in its aim, or from
+/// its answer.
+#[test]
+fn error_with_a_late_body_does_not_hold_its_request() {
+    let _alone = alone();
+    let mut exchanges = Vec::new();
+    for framing in FRAMINGS {
+        let late = Schedule::whole(framing, vec![Piece { at_ms: 1300, bytes: SMALL }]);
+        let never = Schedule::unfinished(framing, Vec::new(), SMALL);
+        for failed in [late, never] {
+            let failed = Schedule { status: "500 Internal Server Error", ..failed };
+            exchanges.extend(requests(&[1000], &failed));
+        }
+    }
+    exchanges.iter_mut().for_each(|exchange| exchange.retried = Some(prompt()));
+    let fleet = PacedFleet::start(&exchanges, AMPLE);
+    let got = fleet.play(&exchanges);
+    let is_right = |exchange: &Exchange, got: &Got| {
+        let status = if exchange.safe { 200 } else { 502 };
+        got.status == status && got.whole && got.ended_after < Duration::from_millis(1000)
+    };
+    let wrong = wrong(&exchanges, &got, is_right);
+    assert!(wrong.is_empty(), "{} of {}: {wrong:#?}", wrong.len(), exchanges.len());
+}
+
+/// Guards against a request that must not run twice being sent again on a rejection that is broken, which proves nothing.
+#[test]
+fn rejection_counts_once_all_of_it_has_come() {
+    let _alone = alone();
+    let mut exchanges = Vec::new();
+    for framing in FRAMINGS {
+        let whole = Schedule::whole(framing, body(SMALL, 200));
+        let piece = |bytes| vec![Piece { at_ms: 0, bytes }];
+        let broken = Schedule::unfinished(framing, piece(100), SMALL);
+        let large = Schedule::unfinished(framing, piece(LARGE - 1), LARGE);
+        for rejected in [whole, broken, large] {
+            let rejected = Schedule { status: "503 Unavailable\r\nX-Not-Run: 1", ..rejected };
+            exchanges.extend(requests(&[1000], &rejected));
+        }
+    }
+    exchanges.iter_mut().for_each(|exchange| exchange.retried = Some(prompt()));
+    let fleet = PacedFleet::start(&exchanges, AMPLE);
+    let got = fleet.play(&exchanges);
+    let is_right = |exchange: &Exchange, got: &Got| match exchange.schedule.ends {
+        true => got.status == 200 && got.whole,
+        false => {
+            let served_elsewhere = exchange.safe && got.status == 200 && got.whole;
+            (got.status >= 500 || served_elsewhere) && got.ended_after <= end_limit(exchange)
+        }
+    };
+    let wrong = wrong(&exchanges, &got, is_right);
+    assert!(wrong.is_empty(), "{} of {}: {wrong:#?}", wrong.len(), exchanges.len());
+    let sent_again = |n: &usize| {
+        let Exchange { safe, schedule, .. } = &exchanges[*n];
+        !safe && !schedule.ends && fleet.attempts(*n) > 1
+    };
+    let sent_again: Vec<usize> = (0..exchanges.len()).filter(sent_again).collect();
+    assert_eq!(sent_again, Vec::<usize>::new(), "sent again on a broken rejection");
+}
+
+/// Responses that have begun, and bring their first piece after their class's aim.
+fn late_responses() -> Vec<Exchange> {
+    let of = |(framing, bytes)| requests(&[400], &Schedule::whole(framing, body(bytes, 1300)));
+    let sizes = |framing| [(framing, SMALL), (framing, LARGE)];
+    FRAMINGS.into_iter().flat_map(sizes).flat_map(of).collect()
+}
+
+/// Guards against a response that has begun being ended by what happens to the process or to the list meanwhile.
+#[test]
+fn response_that_has_begun_outlives_a_shutdown_a_reload_and_a_drain() {
+    let _alone = alone();
+    let exchanges = late_responses();
+    let is_right = |exchange: &Exchange, got: &Got| got.is_all_of(&exchange.schedule);
+    let terminate = |fleet: &PacedFleet| {
+        fleet.node.signal("TERM");
+        fleet.node.signal("HUP");
+        fleet.node.signal("TERM");
+    };
+    let reload = |fleet: &PacedFleet| fleet.node.signal("HUP");
+    let update = |fleet: &PacedFleet, list: Value| {
+        let (_, mut watch) = fleet.node.discovery.watch();
+        chunk(&mut watch, &format!("{list}\n"));
+    };
+    let drain = |fleet: &PacedFleet| {
+        let listed = fleet.listed("DRAINING");
+        update(fleet, json!({"revision": 42, "complete": false, "members": listed}));
+    };
+    let remove = |fleet: &PacedFleet| {
+        update(fleet, json!({"revision": 42, "complete": true, "members": []}));
+    };
+    let events: [(&str, &dyn Fn(&PacedFleet)); 4] =
+        [("SIGTERM", &terminate), ("SIGHUP", &reload), ("drain", &drain), ("removal", &remove)];
+    for (name, event) in events {
+        let fleet = PacedFleet::start(&exchanges, AMPLE);
+        let got = fleet.play_with(&exchanges, || {
+            std::thread::sleep(Duration::from_millis(700));
+            event(&fleet);
+        });
+        let wrong = wrong(&exchanges, &got, is_right);
+        assert!(wrong.is_empty(), "{name}: {} of {}: {wrong:#?}", wrong.len(), exchanges.len());
+    }
+}
