An upload that its upstream may still be reading is not ended at its class's aim

What callers saw: 504 (fragile) 0.3 s after the proxy had read all of an upload, with the upstream's connection closed while it was reading, and 1 to 1.7 s of the client's time left. What the upstream's kernel holds can't be told from here. Change: a request of over 4 KiB of which a byte was handed over may use its client's time, as may a response that has begun. Requests without a body or with a small one, and those that wait for a connection, keep the policy's time.

--- a/src/bin/hollowpaddle/upstreams/attempt_timeout.rs
+++ b/src/bin/hollowpaddle/upstreams/attempt_timeout.rs
@@ -1,7 +1,7 @@
 //! Decides when an attempt has timed out.
 //!
-//! The policy's time, often its class's aim, ends an attempt that nothing has come of. Once the response has begun, it may
-//! use the client's time, and a grace after it.
+//! The policy's time, often its class's aim, ends an attempt that nothing has come of. One that its upstream may still be
+//! reading may use the client's time, and one whose response has begun a grace after it.
 
 use std::time::Duration;
 
@@ -15,6 +15,10 @@
 /// How often an upload is checked for a stall.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// An upstream has read a request of up to this size as soon as it was sent. Of a larger one it may still be reading what
+/// its kernel holds, which can't be told from here.
+const MAX_PROMPT_REQUEST_BYTES: u64 = 4 << 10;
+
 /// Waits until an attempt has timed out, to which the policy gives time `until` then.
 pub(super) async fn attempt_timeout(
     guard: &AttemptGuard,
@@ -52,9 +56,17 @@
     }
 }
 
+/// Whether the upstream may still be reading the request.
+fn may_be_read(guard: &AttemptGuard, progress: &AttemptProgress) -> bool {
+    !progress.nothing_written() && guard.forward().received() > MAX_PROMPT_REQUEST_BYTES
+}
+
 /// Waits for as long as an attempt that is under way may use the client's time.
 async fn under_way(guard: &AttemptGuard, progress: &AttemptProgress) {
     let deadlines = &guard.forward().deadlines;
+    if may_be_read(guard, progress) && guard.is_unanswered() {
+        sleep_until(deadlines.policy()).await;
+    }
     while progress.response_has_begun()
         && guard.is_unanswered()
         && Instant::now() < deadlines.begun_response()
--- a/tests/uploads.rs
+++ b/tests/uploads.rs
@@ -187,7 +187,16 @@
 }
 
 impl Bench {
-    fn start((memory_mb, descriptors): (usize, usize), receive_buffer: usize) -> Self {
+    fn start(limits: (usize, usize), receive_buffer: usize) -> Self {
+        Self::with_aim(limits, receive_buffer, TIME)
+    }
+
+    /// With this aim for the class of all requests.
+    fn with_aim(
+        (memory_mb, descriptors): (usize, usize),
+        receive_buffer: usize,
+        aim: Duration,
+    ) -> Self {
         let readings = Readings::default();
         let completed = Arc::new(AtomicUsize::new(0));
         let upstream = start_upstream(receive_buffer, readings.clone(), completed.clone());
@@ -195,6 +204,7 @@
         let mut file = config(listed);
         file["limits"]["memory_mb"] = Value::from(memory_mb);
         file["limits"]["sockets"] = Value::from(descriptors);
+        file["settings"]["Services"][ALARM]["Aim"] = Value::from(aim.as_millis() as u64);
         Self { node: Node::start(&file), readings, completed }
     }
 
@@ -242,6 +252,8 @@
 }
 
 const TIME: Duration = Duration::from_secs(2);
+/// The place of the class `alarm` in the settings.
+const ALARM: usize = 2;
 
 /// Guards against the time of a request that its upstream reads slowly, or stops to read, running from when the proxy reads
 /// its last byte.
@@ -327,6 +339,31 @@
     assert_eq!(served, uploads.len(), "{ended:#?}");
 }
 
+/// Guards against an upload being ended at its class's aim while its upstream still reads it: the aim runs from when the
+/// proxy has read all of it. By size, framing and pace.
+#[test]
+fn upload_that_is_still_read_is_not_ended_at_its_class_aim() {
+    for receive_buffer in [4 << 10, 128 << 10] {
+        let bench = Bench::with_aim((48, 640), receive_buffer, Duration::from_millis(300));
+        let uploads: Vec<Upload> =
+            [(16_000, 20e3), (60_000, 50e3), (120_000, 90e3), (250_000, 200e3), (500_000, 400e3)]
+                .into_iter()
+                .flat_map(|(bytes, pace)| {
+                    [true, false].map(|chunked| Upload {
+                        bytes,
+                        chunked,
+                        send_buffer: None,
+                        reading: Reading::BytesPerSecond(pace),
+                    })
+                })
+                .collect();
+        let ended = bench.play(&uploads, TIME);
+        assert_eq!(late(&uploads, &ended, TIME), Vec::<String>::new());
+        let served = ended.iter().filter(|ended| ended.status == 200).count();
+        assert_eq!(served, uploads.len(), "{ended:#?}");
+    }
+}
+
 /// Guards against uploads to upstreams that stopped reading delaying other requests, and against their memory adding up,
 /// with all connections that clients may have in use.
 #[test]
