soak: responses whose head comes at once and whose body comes late, and what cuts them off

What was missing: the soak's upstreams answered whole or not at all, so that it passed on, where responses that had begun were ended at the aim of their class (half of the deadline there). Change: of the delayed answers, 6 of 14 now have their head at once, no length, and their body up to 1.3 s later. The record has when a proxy closed such a connection; the judge calls that a violation over 0.35 s before the request's time (a stall of 0.3 s may date a request back) unless the client left, was served elsewhere, or the process was about to be killed. Clients read chunked answers.

--- a/tests/soak/clients.rs
+++ b/tests/soak/clients.rs
@@ -293,7 +293,11 @@
         let head = String::from_utf8_lossy(&bytes[..end]).to_lowercase();
         let mut lines = head.lines().filter_map(|l| l.strip_prefix("content-length: "));
         let length = lines.next().and_then(|n| n.parse().ok()).unwrap_or(0);
-        if bytes.len() >= end + 4 + length {
+        let whole = match head.contains("transfer-encoding: chunked") {
+            true => bytes.ends_with(b"\r\n0\r\n\r\n"),
+            false => bytes.len() >= end + 4 + length,
+        };
+        if whole {
             let status = head.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
             let reusable = !head.contains("connection: close");
             return (End::Answered { status, at: Instant::now() }, reusable);
--- a/tests/soak/judge.rs
+++ b/tests/soak/judge.rs
@@ -5,6 +5,7 @@
 
 use crate::clients::ANSWER_GRACE;
 use crate::record::{Attempt, Class, End, Record, Request};
+use crate::schedule::KILL_AFTER;
 
 /// An attempt may start at most this long after its client closed the connection.
 const MAX_START_AFTER_CLOSE: Duration = Duration::from_millis(100);
@@ -13,6 +14,11 @@
 /// Extension of every time limit on sockets (PROTOCOL).
 const SOCKET_SLACK: Duration = Duration::from_millis(50);
 
+/// After a stall of this length a proxy may take a request for one that came when the stall began.
+const MAX_EARLINESS: Duration = Duration::from_millis(300 + 50);
+/// A proxy gives its last answers this long before it may be killed: 0.2 s, and time for this process to see them.
+const KILL_MARGIN: Duration = Duration::from_millis(200 + 50);
+
 /// Exceptions to the invariants that a run's faults allow.
 #[derive(Default)]
 pub struct Allowed {
@@ -20,6 +26,8 @@
     pub connection_flood: bool,
     /// For each drained upstream, when the grace period ends; no attempt may start later.
     pub drain_deadlines: HashMap<usize, Instant>,
+    /// For each proxy, when it was told to shut down; its last answers come shortly before it is killed.
+    pub terminated: Vec<Option<Instant>>,
 }
 
 /// Describes each violation.
@@ -36,6 +44,7 @@
             run_twice(request, request_attempts),
             forwarded_deadline_too_long(request, request_attempts),
             sent_after_drain(request_attempts, allowed),
+            response_cut_off(request, request_attempts, allowed),
         ];
         violations.extend(faults.into_iter().flatten().map(|fault| {
             format!(
@@ -73,6 +82,22 @@
     }
 }
 
+/// A response that had begun must not be cut off while its client waits.
+fn response_cut_off(request: &Request, attempts: &[Attempt], allowed: &Allowed) -> Option<String> {
+    if request.client_closed.is_some()
+        || matches!(request.end, Some(End::Answered { status: 200, .. }))
+    {
+        return None;
+    }
+    let time_ends = request.sent + request.deadline - MAX_EARLINESS;
+    let last_answer = allowed.terminated[request.proxy].map(|at| at + KILL_AFTER - KILL_MARGIN);
+    let cut_off = attempts.iter().filter_map(|attempt| attempt.cut_off).min()?;
+    let early = time_ends.saturating_duration_since(cut_off);
+    let shuts_down = last_answer.is_some_and(|at| cut_off >= at);
+    (!early.is_zero() && !shuts_down)
+        .then(|| format!("a response that had begun was cut off {early:?} too early"))
+}
+
 fn run_twice(request: &Request, attempts: &[Attempt]) -> Option<String> {
     if request.class != Class::Alarm {
         return None;
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -53,6 +53,8 @@
     pub forwarded_deadline: Duration,
     /// It was read in full, and its upstream did not state that it was not run.
     pub may_have_run: bool,
+    /// When its proxy closed the connection while the body of a response was to come whose head was sent.
+    pub cut_off: Option<Instant>,
 }
 
 /// All requests and attempts of a run, by request id.
@@ -91,9 +93,18 @@
 
     /// Marks an attempt as possibly run.
     pub fn mark_may_have_run(&self, id: &str, index: usize) {
+        self.update_attempt(id, index, |attempt| attempt.may_have_run = true);
+    }
+
+    /// Records that the response to an attempt was cut off now.
+    pub fn response_cut_off(&self, id: &str, index: usize) {
+        self.update_attempt(id, index, |attempt| attempt.cut_off = Some(Instant::now()));
+    }
+
+    fn update_attempt(&self, id: &str, index: usize, update: impl FnOnce(&mut Attempt)) {
         let mut attempts = self.attempts.lock().expect("attempts");
         if let Some(attempt) = attempts.get_mut(id).and_then(|all| all.get_mut(index)) {
-            attempt.may_have_run = true;
+            update(attempt);
         }
     }
 }
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -64,7 +64,11 @@
     let drain_deadlines = test_bed.drain_deadlines.lock().expect("drain deadlines").clone();
     let mut violations = check_invariants(
         &test_bed.record,
-        &Allowed { connection_flood: plan.connection_flood, drain_deadlines },
+        &Allowed {
+            connection_flood: plan.connection_flood,
+            drain_deadlines,
+            terminated: test_bed.terminated.clone(),
+        },
     );
     violations.extend(test_bed.unrecovered_proxies());
     violations.extend(test_bed.process_failures());
--- a/tests/soak/upstreams.rs
+++ b/tests/soak/upstreams.rs
@@ -1,6 +1,6 @@
 //! Fault injectors in front of the stand-in processes: they record each attempt and make some fail.
 
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -24,6 +24,8 @@
     Hang,
     Truncate,
     CloseAfter,
+    /// The head of a response without a length at once, its body after this time.
+    LateBody(Duration),
 }
 
 /// How an injector reads a large body.
@@ -90,6 +92,8 @@
     id: String,
     forwarded_deadline: Duration,
     bytes: Vec<u8>,
+    /// Whether its body was a large one.
+    large: bool,
 }
 
 impl InjectorState {
@@ -99,9 +103,11 @@
         }
         let mut random = self.random.lock().expect("a generator");
         let delay = Duration::from_millis(random.gen_range(1..250));
+        let late_body = Duration::from_millis(random.gen_range(1..1300));
         match random.gen_range(0..100) {
             0..60 => Fault::Pass,
-            60..74 => Fault::Delay(delay),
+            60..68 => Fault::Delay(delay),
+            68..74 => Fault::LateBody(late_body),
             74..82 => Fault::NotRun,
             82..85 => Fault::Error,
             85..89 => Fault::Reset,
@@ -134,6 +140,7 @@
                 started,
                 forwarded_deadline,
                 may_have_run: false,
+                cut_off: None,
             };
             let index = self.record.attempt_started(&id, attempt);
             let fault = self.draw_fault();
@@ -165,7 +172,15 @@
                     return;
                 }
                 Fault::Delay(delay) => thread::sleep(delay),
-                Fault::Pass | Fault::Truncate | Fault::CloseAfter => {}
+                Fault::LateBody(after) if !request.large => {
+                    match write_late_body(&mut proxy, after) {
+                        LateBody::Written => continue,
+                        LateBody::CutOff => self.record.response_cut_off(&id, index),
+                        LateBody::Failed => {}
+                    }
+                    return;
+                }
+                Fault::LateBody(_) | Fault::Pass | Fault::Truncate | Fault::CloseAfter => {}
             }
             let Some(answer) = self.forward(&mut stand_in, &request.bytes) else { return };
             let length =
@@ -207,6 +222,7 @@
                 id,
                 forwarded_deadline: Duration::from_millis(forwarded_deadline),
                 bytes,
+                large,
             });
         }
     }
@@ -272,6 +288,31 @@
     }
 }
 
+/// What became of a response whose body comes late.
+enum LateBody {
+    Written,
+    /// The proxy closed the connection before the body.
+    CutOff,
+    Failed,
+}
+
+/// Writes the head of a response at once and its body after this time, unless the proxy closes the connection before.
+fn write_late_body(proxy: &mut TcpStream, after: Duration) -> LateBody {
+    let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    if proxy.write_all(head).and_then(|()| proxy.set_read_timeout(Some(after))).is_err() {
+        return LateBody::Failed;
+    }
+    match proxy.read(&mut [0]) {
+        Err(cause) if matches!(cause.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+        _ => return LateBody::CutOff,
+    }
+    let written = proxy.write_all(b"4\r\nlate\r\n0\r\n\r\n");
+    match written.and_then(|()| proxy.set_read_timeout(None)) {
+        Ok(()) => LateBody::Written,
+        Err(_) => LateBody::Failed,
+    }
+}
+
 /// When the last bytes arrived according to the kernel, as this thread may read them late.
 fn received_at(stream: &TcpStream) -> Instant {
     Instant::now() - crate::kernel::since_last_data(stream)
