A small response that stops during a shutdown is ended before the process may be killed

What callers would see: a connection reset by SIGKILL in the middle of an answer, in place of one that ends visibly unfinished, where the request came after SIGTERM and its upstream stopped for good after its first piece. Cause: such a request's deadline is moved forward to the shutdown's last moment, 0.2 s before SIGKILL, and the grace of a response without a length (0.44 s) or of a small one (0.3 s) was added to that: 3.71 s after the request, 3.96 s after SIGTERM, where SIGKILL may come after 3.7 s. Change: a stream that may be small ends at the shutdown's time at the latest.

--- a/src/bin/hollowpaddle/deadlines.rs
+++ b/src/bin/hollowpaddle/deadlines.rs
@@ -59,6 +59,11 @@
         self.client.get()
     }
 
+    /// The latest time for any answer, if the process shuts down.
+    pub fn shutdown(&self) -> Option<Instant> {
+        self.shutdown.get()
+    }
+
     /// The policy's deadline: no attempt whose response has not begun is waited for any longer.
     pub fn policy(&self) -> Instant {
         self.client.get() - self.headroom.get()
--- a/src/bin/hollowpaddle/upstreams/streamed_response.rs
+++ b/src/bin/hollowpaddle/upstreams/streamed_response.rs
@@ -32,6 +32,8 @@
     body: Incoming,
     return_to: Option<(Rc<Pool>, ServerId, UpstreamConnection)>,
     progress: ResponseProgress,
+    /// The latest time for the end of a small response, if the process was shutting down when the response came.
+    shutdown: Option<Instant>,
     /// The piece that is being sent to the client.
     slot: PieceSlot,
     waiting_since: Option<Instant>,
@@ -57,6 +59,7 @@
             body,
             return_to: Some(return_to),
             progress: ResponseProgress::new(deadline, size, received as u64, Instant::now()),
+            shutdown: forward.deadlines.shutdown(),
             slot: PieceSlot::default(),
             waiting_since: None,
             rechecks: 0,
@@ -99,12 +102,23 @@
             .is_some_and(|(_, _, connection)| connection.unread_input() == Unread::Bytes)
     }
 
+    /// When to stop waiting for the next piece, if it has been waited for since `waiting_since`. The process may be killed
+    /// soon after the shutdown's time; a large response goes on until then.
+    fn give_up_at(&self, waiting_since: Instant) -> Instant {
+        let at = self.progress.give_up_at(waiting_since);
+        match self.shutdown {
+            Some(shutdown) if !self.progress.is_large() => at.min(shutdown),
+            _ => at,
+        }
+    }
+
     /// Waits until the next piece is overdue.
     fn poll_overdue(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         if self.waiting_since.is_none() {
             let now = Instant::now();
             self.waiting_since = Some(now);
-            self.timer.as_mut().reset(self.progress.give_up_at(now));
+            let give_up_at = self.give_up_at(now);
+            self.timer.as_mut().reset(give_up_at);
         }
         loop {
             ready!(self.timer.as_mut().poll(cx));
--- a/tests/responses.rs
+++ b/tests/responses.rs
@@ -243,38 +243,72 @@
     FRAMINGS.into_iter().flat_map(sizes).flat_map(of).collect()
 }
 
+/// What happens to a proxy while it waits for responses.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Shutdown,
+    Reload,
+    Drain,
+    Removal,
+}
+
+impl Event {
+    fn happen(self, fleet: &PacedFleet) {
+        let update = |list: Value| {
+            let (_, mut watch) = fleet.node.discovery.watch();
+            chunk(&mut watch, &format!("{list}\n"));
+        };
+        let list = |complete: bool, members: Vec<Value>| json!({"revision": 42, "complete": complete, "members": members});
+        match self {
+            Event::Shutdown => {
+                for name in ["TERM", "HUP", "TERM"] {
+                    fleet.node.signal(name);
+                }
+            }
+            Event::Reload => fleet.node.signal("HUP"),
+            Event::Drain => update(list(false, fleet.listed("DRAINING"))),
+            Event::Removal => update(list(true, Vec::new())),
+        }
+    }
+}
+
 /// Guards against a response that has begun being ended by what happens to the process or to the list meanwhile.
 #[test]
 fn response_that_has_begun_outlives_a_shutdown_a_reload_and_a_drain() {
     let _alone = alone();
     let exchanges = late_responses();
     let is_right = |exchange: &Exchange, got: &Got| got.is_all_of(&exchange.schedule);
-    let terminate = |fleet: &PacedFleet| {
-        fleet.node.signal("TERM");
-        fleet.node.signal("HUP");
-        fleet.node.signal("TERM");
-    };
-    let reload = |fleet: &PacedFleet| fleet.node.signal("HUP");
-    let update = |fleet: &PacedFleet, list: Value| {
-        let (_, mut watch) = fleet.node.discovery.watch();
-        chunk(&mut watch, &format!("{list}\n"));
-    };
-    let drain = |fleet: &PacedFleet| {
-        let listed = fleet.listed("DRAINING");
-        update(fleet, json!({"revision": 42, "complete": false, "members": listed}));
-    };
-    let remove = |fleet: &PacedFleet| {
-        update(fleet, json!({"revision": 42, "complete": true, "members": []}));
-    };
-    let events: [(&str, &dyn Fn(&PacedFleet)); 4] =
-        [("SIGTERM", &terminate), ("SIGHUP", &reload), ("drain", &drain), ("removal", &remove)];
-    for (name, event) in events {
+    for event in [Event::Shutdown, Event::Reload, Event::Drain, Event::Removal] {
         let fleet = PacedFleet::start(&exchanges, AMPLE);
         let got = fleet.play_with(&exchanges, || {
             std::thread::sleep(Duration::from_millis(700));
-            event(&fleet);
+            event.happen(&fleet);
         });
         let wrong = wrong(&exchanges, &got, is_right);
-        assert!(wrong.is_empty(), "{name}: {} of {}: {wrong:#?}", wrong.len(), exchanges.len());
+        assert!(wrong.is_empty(), "{event:?}: {} of {}: {wrong:#?}", wrong.len(), exchanges.len());
     }
 }
+
+/// Guards against a response that stops for good being waited for until the process is killed, where its request came after
+/// SIGTERM: by then the longest deadline and 0.7 s have passed.
+#[test]
+fn response_that_stops_for_good_during_a_shutdown_ends_before_the_kill() {
+    let _alone = alone();
+    let of = |framing| {
+        let begun = vec![Piece { at_ms: 0, bytes: 1000 }];
+        requests(&[400, 6000], &Schedule::unfinished(framing, begun, SMALL))
+    };
+    let mut exchanges: Vec<Exchange> = FRAMINGS.into_iter().flat_map(of).collect();
+    exchanges.iter_mut().for_each(|exchange| exchange.deadline_ms = 6000);
+    let fleet = PacedFleet::start(&exchanges, AMPLE);
+    fleet.node.signal("TERM");
+    std::thread::sleep(Duration::from_millis(250));
+    let got = fleet.play(&exchanges);
+    let kill_after = Duration::from_millis(3000 + 700 - 250);
+    let is_right = |_: &Exchange, got: &Got| {
+        let answered = got.status >= 500 || got.status == 200 && !got.whole;
+        answered && got.ended_after < kill_after
+    };
+    let wrong = wrong(&exchanges, &got, is_right);
+    assert!(wrong.is_empty(), "{} of {}: {wrong:#?}", wrong.len(), exchanges.len());
+}
