upstreams.rs is split: the pool, the attempts and load reports have modules of their own

Change: code moved as it was into pool.rs, attempt.rs and load_report.rs; what stays is what they share. Three comments of state.rs tell a reason in place of a story. No behaviour changed.

--- a/src/bin/hollowpaddle/upstreams/tests.rs
+++ b/src/bin/hollowpaddle/upstreams/tests.rs
@@ -1,11 +1,20 @@
+use std::rc::Rc;
+
 use bytes::Bytes;
+use hollowpaddle::invariants::violations::Violations;
+use hollowpaddle::settings::Field;
 use hollowpaddle::socket::Peer;
+use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
+use tokio::time::Instant;
 
+use super::connection::Written;
+use super::load_report::parse_load_report;
 use super::*;
 use crate::bodies::Payload;
 use crate::client_connection::{ClientConnection, ClientInput};
 use crate::deadlines::Deadlines;
+use crate::guard::AttemptGuard;
 use crate::memory::BufferMemory;
 
 #[test]
--- a/src/state.rs
+++ b/src/state.rs
@@ -68,8 +68,8 @@
 }
 
 /// Load and capacity of the upstreams that a set of classes may be sent to. The first partition is the whole fleet;
-/// classes bound to the same zones and kinds share one of their own. Failure: with admission by the fleet's sums, a
-/// bound class was queued for slots that it could never use.
+/// classes bound to the same zones and kinds share one of their own, so that none is queued for slots that it cannot
+/// use.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct CapacityPartition {
     /// A class with this binding; `None` for the whole fleet.
@@ -101,8 +101,7 @@
 /// and upstreams do not report it. It is learned from the rate of answers at each level, that is, number of
 /// own requests in flight at an upstream.
 ///
-/// Failure: when estimated from the latency at each level, one core looked like two, because the attempts
-/// that finish before a concurrent one are the short ones.
+/// The latency at each level does not tell it: the attempts that finish before a concurrent one are the short ones.
 #[derive(Clone, Debug)]
 pub(crate) struct Concurrency {
     pub(crate) count: usize,
@@ -186,8 +185,7 @@
     pub(crate) concurrency: Vec<Concurrency>,
     pub(crate) last_trial: Time,
     /// This proxy's limit as a multiple of its even share of the fleet's slots; and TS without congestion,
-    /// the baseline for it. Failure: compared with the current TS, a fleet whose proxies all congest it never
-    /// looks congested.
+    /// the baseline for it: where all proxies congest the fleet, its current TS shows no congestion.
     pub(crate) overcommit: f64,
     pub(crate) baseline_ts: f64,
     /// Answers of warm upstreams, as a decaying count by kind; and their highest recent rate per microsecond
