A response that has begun, but was not passed on, ends at its request's deadline and not 0.3 s after it

What was passed on before goes on by its own rules, as before. Tests: response_with_a_gap_over_its_deadline_is_whole asked for the grace in 16 of its 48 exchanges; they now have to be answered in their time, the other 32 are whole as before. response_to_an_upload_that_is_not_read_to_its_end_is_passed_on asked for it in all; it now has responses that come at half the time, which have to be served, and late ones, which must not be waited for.

--- a/src/bin/hollowpaddle/deadlines.rs
+++ b/src/bin/hollowpaddle/deadlines.rs
@@ -12,11 +12,6 @@
 const HEADROOM_DIVISOR: u32 = 4;
 /// The engine answers by itself once only this fraction of the headroom is left and the policy has not answered.
 const BACKSTOP_DIVISOR: u32 = 3;
-/// A response that has begun is waited for until this long after the client's deadline: its final answer is owed half a
-/// second after it, and the process may be stalled for 0.15 s (STANDING).
-pub const BEGUN_RESPONSE_GRACE: Duration = Duration::from_millis(300);
-/// An attempt with such a response ends this much before the engine answers by itself.
-const BEGUN_RESPONSE_MARGIN: Duration = Duration::from_millis(10);
 
 /// The time between the policy's deadline and the client's deadline `until`, for a request that arrives now.
 pub fn headroom(until: Instant, now: Instant) -> Duration {
@@ -64,27 +59,14 @@
         self.shutdown.get()
     }
 
-    /// The policy's deadline: no attempt whose response has not begun is waited for any longer.
+    /// The policy's deadline: no attempt is waited for any longer of whose response nothing could be passed on.
     pub fn policy(&self) -> Instant {
         self.client.get() - self.headroom.get()
     }
 
-    /// When the engine answers a request by itself if no response has begun.
+    /// When the engine answers a request by itself.
     pub fn backstop(&self) -> Instant {
-        self.capped(backstop(self.client.get(), self.headroom.get()))
-    }
-
-    /// When an attempt ends whose response has begun, but nothing of which could be passed on.
-    pub fn begun_response(&self) -> Instant {
-        self.begun_response_backstop() - BEGUN_RESPONSE_MARGIN
-    }
-
-    /// When the engine answers a request by itself though a response has begun.
-    pub fn begun_response_backstop(&self) -> Instant {
-        self.capped(self.client.get() + BEGUN_RESPONSE_GRACE)
-    }
-
-    fn capped(&self, at: Instant) -> Instant {
+        let at = backstop(self.client.get(), self.headroom.get());
         self.shutdown.get().map_or(at, |by| by.min(at))
     }
 }
--- a/src/bin/hollowpaddle/engine.rs
+++ b/src/bin/hollowpaddle/engine.rs
@@ -35,7 +35,7 @@
 use crate::deadlines::{backstop, headroom};
 use crate::guard::AttemptGuard;
 use crate::lateness::Lateness;
-use crate::upstreams::{AttemptProgress, AttemptResult, Forward, Pool};
+use crate::upstreams::{AttemptResult, Forward, Pool};
 use clock::Clock;
 use handle::EngineMessage;
 pub use handle::{Arrival, Handle, Reply};
@@ -83,18 +83,12 @@
     sent_at: Instant,
     /// `Some` while the attempt is in flight; dropping it closes the connection.
     task: Option<AbortOnDrop>,
-    progress: Rc<AttemptProgress>,
 }
 
 impl PendingRequest {
     fn in_flight(&self) -> usize {
         self.attempts.iter().filter(|a| a.task.is_some()).count()
     }
-
-    /// Whether the response of an attempt in flight has begun.
-    fn response_has_begun(&self) -> bool {
-        self.attempts.iter().any(|a| a.task.is_some() && a.progress.response_has_begun())
-    }
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -398,10 +392,6 @@
             // Set before the body was complete; another timer is set for the deadline.
             return;
         }
-        if let Some(at) = self.begun_response_due(id) {
-            self.timers.push(Reverse((at, TimerKind::Deadline(id))));
-            return;
-        }
         if self.give_up(id) {
             let request = self.requests.get(&id).and_then(|r| r.forward.id());
             tracing::warn!(
@@ -414,14 +404,6 @@
         self.remove_if_done(id);
     }
 
-    /// By when the engine answers a request if the response that has begun does not come on; `None` if none has, or that time
-    /// has passed.
-    fn begun_response_due(&self, id: RequestId) -> Option<Instant> {
-        let pending = self.requests.get(&id).filter(|pending| pending.reply.is_some())?;
-        let due = pending.forward.deadlines.begun_response_backstop();
-        (pending.response_has_begun() && Instant::now() < due).then_some(due)
-    }
-
     /// Answers a request in place of the policy; returns false if it is already answered.
     fn give_up(&mut self, id: RequestId) -> bool {
         let Some(pending) = self.requests.get(&id) else { return false };
--- a/src/bin/hollowpaddle/engine/attempts.rs
+++ b/src/bin/hollowpaddle/engine/attempts.rs
@@ -53,8 +53,7 @@
         let until = allowed.min(pending.forward.deadlines.policy());
         let disallowed_copy = pending.in_flight() > 0 && !self.second_copies;
         let target = self.upstreams.target(server);
-        let progress = Rc::new(AttemptProgress::default());
-        let mut record = Attempt { server, sent_at: now, task: None, progress: progress.clone() };
+        let mut record = Attempt { server, sent_at: now, task: None };
         let over = pending.reply.is_none() || attempt >= self.max_attempts || now >= until;
         let over = over || pending.forward.body.is_consumed();
         let (Some(target), false) = (target, over || disallowed_copy) else {
@@ -77,7 +76,7 @@
             return;
         }
         record.task = Some(AbortOnDrop(tokio::task::spawn_local(async move {
-            let result = pool.attempt(server, &guard, until, &progress).await;
+            let result = pool.attempt(server, &guard, until).await;
             let _ = messages.send(EngineMessage::AttemptEnded { id, attempt, result });
         })));
         pending.attempts.push(record);
--- a/src/bin/hollowpaddle/engine/uploads.rs
+++ b/src/bin/hollowpaddle/engine/uploads.rs
@@ -2,7 +2,6 @@
 //! before it can be read here.
 
 use super::*;
-use crate::deadlines::BEGUN_RESPONSE_GRACE;
 
 /// When a request whose body is incomplete must be looked at.
 enum UploadDue {
@@ -41,11 +40,7 @@
         let time = pending.time_after_body?;
         let now = Instant::now();
         let by_body = pending.forward.body.rest.as_ref()?.due(time);
-        let begun = pending.response_has_begun();
-        let by_body = by_body.map(|until| match begun {
-            true => until + BEGUN_RESPONSE_GRACE,
-            false => backstop(until, headroom(until, until - time)),
-        });
+        let by_body = by_body.map(|until| backstop(until, headroom(until, until - time)));
         let due = by_body.into_iter().chain(self.shutdown_deadline).min();
         Some(match due {
             Some(at) if at <= now => UploadDue::Now,
--- a/src/bin/hollowpaddle/upstreams.rs
+++ b/src/bin/hollowpaddle/upstreams.rs
@@ -20,7 +20,6 @@
 use hyper::Response;
 
 use crate::bodies::UpstreamResponse;
-pub use attempt_progress::AttemptProgress;
 pub use forward::{Forward, header_bytes};
 pub use pool::Pool;
 pub use streamed_response::StreamedResponse;
--- a/src/bin/hollowpaddle/upstreams/attempt.rs
+++ b/src/bin/hollowpaddle/upstreams/attempt.rs
@@ -26,15 +26,15 @@
         server: ServerId,
         guard: &Rc<AttemptGuard>,
         until: Instant,
-        progress: &AttemptProgress,
     ) -> AttemptResult {
+        let progress = AttemptProgress::default();
         let ended = tokio::select! {
             biased;
-            ended = self.exchange(server, guard, until, progress) => Some(ended),
-            () = attempt_timeout(guard, until, progress) => None,
+            ended = self.exchange(server, guard, until, &progress) => Some(ended),
+            () = attempt_timeout(guard, until, &progress) => None,
         };
         ended.unwrap_or_else(|| {
-            self.record_timeout(guard, progress);
+            self.record_timeout(guard, &progress);
             // The request timed out before all of it was handed to the kernel, so the upstream cannot have run it.
             AttemptResult::without_response(if progress.certainly_incomplete() {
                 Outcome::ConnectFailed
--- a/src/bin/hollowpaddle/upstreams/attempt_progress.rs
+++ b/src/bin/hollowpaddle/upstreams/attempt_progress.rs
@@ -9,7 +9,7 @@
 
 /// Tracks how much of a request was handed to the kernel, and how much of its response has come.
 #[derive(Default)]
-pub struct AttemptProgress {
+pub(super) struct AttemptProgress {
     written: RefCell<Option<(Written, u64)>>,
     due: RefCell<BodyProgress>,
 }
@@ -35,7 +35,7 @@
     }
 
     /// Whether any byte of the response has come, read or unread.
-    pub fn response_has_begun(&self) -> bool {
+    pub(super) fn response_has_begun(&self) -> bool {
         self.response_bytes() > 0
             || self.written.borrow().as_ref().is_some_and(|(w, _)| w.peer.unread() == Unread::Bytes)
     }
--- a/src/bin/hollowpaddle/upstreams/attempt_timeout.rs
+++ b/src/bin/hollowpaddle/upstreams/attempt_timeout.rs
@@ -1,7 +1,7 @@
 //! Decides when an attempt has timed out.
 //!
 //! The policy's time, often its class's aim, ends an attempt that nothing has come of. One that its upstream may still be
-//! reading may use the client's time, and one whose response has begun a grace after it.
+//! reading, or whose response has begun, may use the client's time.
 
 use std::time::Duration;
 
@@ -35,7 +35,9 @@
             }
         }
     }
-    under_way(guard, progress).await;
+    if guard.is_unanswered() && is_under_way(guard, progress) {
+        sleep_until(guard.forward().deadlines.policy()).await;
+    }
 }
 
 /// Waits until all of a body was received. Does not return if it fails, as the exchange itself fails then.
@@ -56,21 +58,9 @@
     }
 }
 
-/// Whether the upstream may still be reading the request.
-fn may_be_read(guard: &AttemptGuard, progress: &AttemptProgress) -> bool {
-    !progress.nothing_written() && guard.forward().received() > MAX_PROMPT_REQUEST_BYTES
-}
-
-/// Waits for as long as an attempt that is under way may use the client's time.
-async fn under_way(guard: &AttemptGuard, progress: &AttemptProgress) {
-    let deadlines = &guard.forward().deadlines;
-    if may_be_read(guard, progress) && guard.is_unanswered() {
-        sleep_until(deadlines.policy()).await;
-    }
-    while progress.response_has_begun()
-        && guard.is_unanswered()
-        && Instant::now() < deadlines.begun_response()
-    {
-        sleep_until(deadlines.begun_response()).await;
-    }
+/// Whether the response has begun, or the upstream may still be reading the request.
+fn is_under_way(guard: &AttemptGuard, progress: &AttemptProgress) -> bool {
+    let may_be_read =
+        !progress.nothing_written() && guard.forward().received() > MAX_PROMPT_REQUEST_BYTES;
+    may_be_read || progress.response_has_begun()
 }
--- a/src/bin/hollowpaddle/upstreams/tests.rs
+++ b/src/bin/hollowpaddle/upstreams/tests.rs
@@ -8,6 +8,7 @@
 use hyper::{Method, Uri};
 use tokio::time::Instant;
 
+use super::attempt_progress::AttemptProgress;
 use super::connection::Written;
 use super::load_report::parse_load_report;
 use super::*;
