A connection's peer and an attempt's success stand once

Cause: Written got the connection's peer for the look at unread bytes, and UpstreamConnection kept its own; of the variable 'serves' one use was left. Change: the second peer and the variable are gone. No behaviour changed.

--- a/src/bin/hollowpaddle/upstreams/attempt.rs
+++ b/src/bin/hollowpaddle/upstreams/attempt.rs
@@ -137,8 +137,6 @@
             }
             _ => Outcome::Error,
         };
-        // The body of an unsuccessful response is not forwarded.
-        let serves = outcome == Outcome::Ok;
         let length = body.size_hint().exact();
         let first = match outcome {
             Outcome::Ok => {
@@ -162,8 +160,9 @@
             let rest = StreamedResponse::new(forward, body, kept.len(), length, return_to);
             Some(rest.beginning_with(unbuffered))
         };
-        let response =
-            serves.then(|| Box::new(Response::from_parts(head, UpstreamResponse { kept, rest })));
+        // The body of an unsuccessful response is not forwarded.
+        let response = (outcome == Outcome::Ok)
+            .then(|| Box::new(Response::from_parts(head, UpstreamResponse { kept, rest })));
         AttemptResult { outcome, report, response, denial: None }
     }
 
--- a/src/bin/hollowpaddle/upstreams/connection.rs
+++ b/src/bin/hollowpaddle/upstreams/connection.rs
@@ -152,7 +152,6 @@
     /// The body is boxed, since hyper's channel has room for 32 requests.
     pub(super) sender: SendRequest<Box<UpstreamRequestBody>>,
     pub(super) written: Written,
-    pub(super) peer: Peer,
     pub(super) address: SocketAddr,
     pub(super) idle_since: Instant,
     pub(super) _connection: AbortOnDrop,
@@ -162,7 +161,7 @@
     /// Checks the socket for input or a close that the connection's task has not been woken for yet. Without this, a
     /// request that came at the same moment as the upstream's close was written first, and failed with a reset.
     pub(super) fn unread_input(&self) -> Unread {
-        self.peer.unread()
+        self.written.peer.unread()
     }
 }
 
--- a/src/bin/hollowpaddle/upstreams/pool.rs
+++ b/src/bin/hollowpaddle/upstreams/pool.rs
@@ -194,9 +194,8 @@
         stream.set_nodelay(true).ok()?;
         let (attempts_sent, violations) = (self.attempts_sent.clone(), self.violations.clone());
         let socket = Socket::new(stream);
-        let peer = socket.peer();
         let written =
-            Written { attempts_sent, violations, peer: peer.clone(), ..Written::default() };
+            Written { attempts_sent, violations, peer: socket.peer(), ..Written::default() };
         let io = CountedIo {
             inner: TokioIo::new(socket),
             written: written.clone(),
@@ -224,7 +223,7 @@
         });
         let idle_since = Instant::now();
         let _connection = AbortOnDrop(task);
-        Some(UpstreamConnection { sender, written, peer, address, idle_since, _connection })
+        Some(UpstreamConnection { sender, written, address, idle_since, _connection })
     }
 
     /// Returns a connection to the pool after its response was read, once it can take another request.
