tests: the ends of the response tests and the uploads in both framings stand once

Cause: six tests of tests/responses.rs ended in the same lines, and tests/uploads.rs built its requests in both framings, and asked that all be served, in four places. Change: assert_each, is_whole, in_both_framings and assert_all_served; the same assertions and the same figures.

--- a/tests/paced/mod.rs
+++ b/tests/paced/mod.rs
@@ -241,8 +241,7 @@
 
     /// The number of attempts of this request that upstreams have read.
     pub fn attempts(&self, number: usize) -> usize {
-        let seen = self.attempts.lock().expect("attempts");
-        seen.iter().filter(|other| **other == number).count()
+        count(&self.attempts.lock().expect("attempts"), number)
     }
 
     /// Sends all requests at once; returns what each client got, in their order.
@@ -272,8 +271,13 @@
 /// Records an attempt of this request; returns how many there were before.
 fn record_attempt(seen: &Mutex<Vec<usize>>, number: usize) -> usize {
     let mut seen = seen.lock().expect("attempts");
+    let before = count(&seen, number);
     seen.push(number);
-    seen.iter().filter(|other| **other == number).count() - 1
+    before
+}
+
+fn count(seen: &[usize], number: usize) -> usize {
+    seen.iter().filter(|other| **other == number).count()
 }
 
 /// The request classes that these exchanges name.
--- a/tests/responses.rs
+++ b/tests/responses.rs
@@ -47,14 +47,21 @@
     aims_ms.iter().flat_map(of_aim).collect()
 }
 
-/// The exchanges that did not end as `is_right` says, with what came.
-fn wrong(
+/// Fails with the exchanges that did not end as `is_right` says, and what came of them.
+fn assert_each(
+    what: &str,
     exchanges: &[Exchange],
     got: &[Got],
     is_right: impl Fn(&Exchange, &Got) -> bool,
-) -> Vec<String> {
+) {
     let pairs = exchanges.iter().zip(got).filter(|(exchange, got)| !is_right(exchange, got));
-    pairs.map(|(exchange, got)| format!("{}: {got:?}", exchange.summary())).collect()
+    let wrong: Vec<String> =
+        pairs.map(|(exchange, got)| format!("{}: {got:?}", exchange.summary())).collect();
+    assert!(wrong.is_empty(), "{what}: {} of {}: {wrong:#?}", wrong.len(), exchanges.len());
+}
+
+fn is_whole(exchange: &Exchange, got: &Got) -> bool {
+    got.is_all_of(&exchange.schedule)
 }
 
 /// Guards against a response that has begun being ended at its class's aim, while its client still waits: by framing, size,
@@ -73,9 +80,7 @@
     }
     let fleet = PacedFleet::start(&exchanges, AMPLE);
     let got = fleet.play(&exchanges);
-    let is_right = |exchange: &Exchange, got: &Got| got.is_all_of(&exchange.schedule);
-    let wrong = wrong(&exchanges, &got, is_right);
-    assert!(wrong.is_empty(), "{} of {}: {wrong:#?}", wrong.len(), exchanges.len());
+    assert_each("whole", &exchanges, &got, is_whole);
 }
 
 /// A response that is declared to be large is ended once its upstream has been silent for this long.
@@ -119,8 +124,7 @@
         got.ended_after <= end_limit(exchange)
             && (got.status >= 500 || got.status == 200 && !got.whole)
     };
-    let wrong = wrong(&exchanges, &got, is_right);
-    assert!(wrong.is_empty(), "{} of {}: {wrong:#?}", wrong.len(), exchanges.len());
+    assert_each("answered", &exchanges, &got, is_right);
 }
 
 /// Whether a part of this response can be passed on before its request's deadline.
@@ -160,8 +164,7 @@
         true => got.is_all_of(&exchange.schedule),
         false => got.status >= 500 && got.ended_after <= end_limit(exchange),
     };
-    let wrong = wrong(&exchanges, &got, is_right);
-    assert!(wrong.is_empty(), "{} of {}: {wrong:#?}", wrong.len(), exchanges.len());
+    assert_each("answered", &exchanges, &got, is_right);
 }
 
 /// Guards against a response that begins late being ended where there is no memory to buffer its first part.
@@ -179,9 +182,7 @@
     }
     let fleet = PacedFleet::start(&exchanges, SCARCE);
     let got = fleet.play(&exchanges);
-    let is_right = |exchange: &Exchange, got: &Got| got.is_all_of(&exchange.schedule);
-    let wrong = wrong(&exchanges, &got, is_right);
-    assert!(wrong.is_empty(), "{} of {}: {wrong:#?}", wrong.len(), exchanges.len());
+    assert_each("whole", &exchanges, &got, is_whole);
 }
 
 /// A small response, at once.
@@ -210,8 +211,7 @@
         let status = if exchange.safe { 200 } else { 502 };
         got.status == status && got.whole && got.ended_after < Duration::from_millis(1000)
     };
-    let wrong = wrong(&exchanges, &got, is_right);
-    assert!(wrong.is_empty(), "{} of {}: {wrong:#?}", wrong.len(), exchanges.len());
+    assert_each("answered", &exchanges, &got, is_right);
 }
 
 /// Guards against a request that must not run twice being sent again on a rejection that is broken, which proves nothing.
@@ -239,8 +239,7 @@
             (got.status >= 500 || served_elsewhere) && got.ended_after <= end_limit(exchange)
         }
     };
-    let wrong = wrong(&exchanges, &got, is_right);
-    assert!(wrong.is_empty(), "{} of {}: {wrong:#?}", wrong.len(), exchanges.len());
+    assert_each("answered", &exchanges, &got, is_right);
     let sent_again = |n: &usize| {
         let Exchange { safe, schedule, .. } = &exchanges[*n];
         !safe && !schedule.ends && fleet.attempts(*n) > 1
@@ -290,15 +289,13 @@
 fn response_that_has_begun_outlives_a_shutdown_a_reload_and_a_drain() {
     let _alone = alone();
     let exchanges = late_responses();
-    let is_right = |exchange: &Exchange, got: &Got| got.is_all_of(&exchange.schedule);
     for event in [Event::Shutdown, Event::Reload, Event::Drain, Event::Removal] {
         let fleet = PacedFleet::start(&exchanges, AMPLE);
         let got = fleet.play_with(&exchanges, || {
             std::thread::sleep(Duration::from_millis(700));
             event.happen(&fleet);
         });
-        let wrong = wrong(&exchanges, &got, is_right);
-        assert!(wrong.is_empty(), "{event:?}: {} of {}: {wrong:#?}", wrong.len(), exchanges.len());
+        assert_each(&format!("{event:?}"), &exchanges, &got, is_whole);
     }
 }
 
@@ -322,6 +319,5 @@
         let answered = got.status >= 500 || got.status == 200 && !got.whole;
         answered && got.ended_after < kill_after
     };
-    let wrong = wrong(&exchanges, &got, is_right);
-    assert!(wrong.is_empty(), "{} of {}: {wrong:#?}", wrong.len(), exchanges.len());
+    assert_each("answered", &exchanges, &got, is_right);
 }
--- a/tests/uploads.rs
+++ b/tests/uploads.rs
@@ -252,10 +252,20 @@
     let read = read.map(|(bytes, pace)| (bytes, Reading::BytesPerSecond(pace)));
     let stuck = [(209_937, 17_746), (189_341, 9_298), (217_278, 3_673), (437_920, 7_251)];
     let stuck = stuck.into_iter().map(|(bytes, at)| (bytes, Reading::StopsAt(at)));
-    let both = read.chain(stuck).flat_map(|(bytes, reading)| {
-        [true, false].map(|chunked| Upload { bytes, chunked, send_buffer, reading })
-    });
-    both.collect()
+    let both = read.chain(stuck);
+    both.flat_map(|(bytes, reading)| in_both_framings(bytes, send_buffer, reading)).collect()
+}
+
+/// The same request with a chunked body and with one of declared length.
+fn in_both_framings(bytes: usize, send_buffer: Option<usize>, reading: Reading) -> [Upload; 2] {
+    [true, false].map(|chunked| Upload { bytes, chunked, send_buffer, reading })
+}
+
+/// Fails unless all were served, and in their time.
+fn assert_all_served(uploads: &[Upload], ended: &[Ended], time: Duration) {
+    assert_eq!(late(uploads, ended, time), Vec::<String>::new());
+    let served = ended.iter().filter(|ended| ended.status == 200).count();
+    assert_eq!(served, uploads.len(), "{ended:#?}");
 }
 
 const TIME: Duration = Duration::from_secs(2);
@@ -301,14 +311,7 @@
             let uploads: Vec<Upload> = [300_000, 1 << 20, 3 << 20]
                 .into_iter()
                 .flat_map(|bytes| readings.map(|reading| (bytes, reading)))
-                .flat_map(|(bytes, reading)| {
-                    [true, false].map(|chunked| Upload {
-                        bytes,
-                        chunked,
-                        send_buffer: None,
-                        reading,
-                    })
-                })
+                .flat_map(|(bytes, reading)| in_both_framings(bytes, None, reading))
                 .collect();
             let ended = bench.play(&uploads, time);
             assert_eq!(late(&uploads, &ended, time), Vec::<String>::new(), "{limits:?}, {time:?}");
@@ -331,19 +334,10 @@
     ];
     let uploads: Vec<Upload> = kinds
         .into_iter()
-        .flat_map(|(bytes, reading)| {
-            [true, false].map(|chunked| Upload {
-                bytes,
-                chunked,
-                send_buffer: SMALL_BUFFER,
-                reading,
-            })
-        })
+        .flat_map(|(bytes, reading)| in_both_framings(bytes, SMALL_BUFFER, reading))
         .collect();
     let ended = bench.play(&uploads, TIME);
-    assert_eq!(late(&uploads, &ended, TIME), Vec::<String>::new());
-    let served = ended.iter().filter(|ended| ended.status == 200).count();
-    assert_eq!(served, uploads.len(), "{ended:#?}");
+    assert_all_served(&uploads, &ended, TIME);
 }
 
 /// Guards against an upload being ended at its class's aim while its upstream still reads it: the aim runs from when the
@@ -356,18 +350,11 @@
             [(16_000, 20e3), (60_000, 50e3), (120_000, 90e3), (250_000, 200e3), (500_000, 400e3)]
                 .into_iter()
                 .flat_map(|(bytes, pace)| {
-                    [true, false].map(|chunked| Upload {
-                        bytes,
-                        chunked,
-                        send_buffer: None,
-                        reading: Reading::BytesPerSecond(pace),
-                    })
+                    in_both_framings(bytes, None, Reading::BytesPerSecond(pace))
                 })
                 .collect();
         let ended = bench.play(&uploads, TIME);
-        assert_eq!(late(&uploads, &ended, TIME), Vec::<String>::new());
-        let served = ended.iter().filter(|ended| ended.status == 200).count();
-        assert_eq!(served, uploads.len(), "{ended:#?}");
+        assert_all_served(&uploads, &ended, TIME);
     }
 }
 
@@ -376,15 +363,9 @@
 fn response_to_an_upload_that_is_not_read_to_its_end_is_passed_on() {
     let bench = Bench::with_aim((48, 640), 16 << 10, Duration::from_millis(200));
     let time = Duration::from_millis(1000);
-    let upload = |bytes, chunked, after_ms| Upload {
-        bytes,
-        chunked,
-        send_buffer: None,
-        reading: Reading::AnswersAt(4_000, Duration::from_millis(after_ms)),
-    };
     let of = |after_ms| {
-        let of_size = |bytes| [true, false].map(|chunked| upload(bytes, chunked, after_ms));
-        [100_000, 700_000].map(of_size).concat()
+        let reading = Reading::AnswersAt(4_000, Duration::from_millis(after_ms));
+        [100_000, 700_000].map(|bytes| in_both_framings(bytes, None, reading)).concat()
     };
     let uploads = [of(500), of(1100)].concat();
     let ended = bench.play(&uploads, time);
